Add the JSON form of jobs

Log records, the API and the command-line program all carry jobs, so one encoder and decoder in core keeps them alike. The decoder bounds every value and names the key that is at fault; unknown keys are ignored so that records of a newer version stay readable.

--- /dev/null
+++ b/marjoramfold/core/jobjson.cpp
@@ -0,0 +1,275 @@
+#include "marjoramfold/core/jobjson.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace Marjoramfold
+{
+namespace
+{
+using nlohmann::json;
+
+/// Largest count of cores or accelerators; far above any worker, low enough that sums over a gang cannot overflow.
+constexpr int MaxCount = 1'000'000;
+constexpr std::int64_t MaxMemoryMb = 1'000'000'000;
+
+/// Longest declared time: a year. Keeps sums of times far from overflow.
+constexpr std::chrono::milliseconds MaxTime = std::chrono::hours(24 * 366);
+
+/// Most availability zones that a job may name.
+constexpr std::size_t MaxZones = 64;
+
+auto isPrintable(std::string_view text) -> bool
+{
+    return std::none_of(text.begin(), text.end(), [](unsigned char c) {
+        return c < 0x20U || c == 0x7fU;
+    });
+}
+
+/// Reads values of one JSON object and keeps the first fault.
+class Reader
+{
+public:
+    Reader(const json &object, std::string prefix, std::optional<JobSpecFault> &fault)
+        : object_(object)
+        , prefix_(std::move(prefix))
+        , fault_(fault)
+    {
+    }
+
+    auto fail(std::string_view key, std::string reason) -> void
+    {
+        if (!fault_) {
+            fault_ = JobSpecFault{prefix_ + std::string(key), std::move(reason)};
+        }
+    }
+
+    auto find(const char *key) const -> const json *
+    {
+        const auto found = object_.find(key);
+        return found == object_.end() ? nullptr : &*found;
+    }
+
+    auto text(const char *key, std::string &value) -> void
+    {
+        const auto *found = find(key);
+        if (found == nullptr) {
+            return;
+        }
+        if (!found->is_string()) {
+            fail(key, "must be a string");
+            return;
+        }
+        value = found->get<std::string>();
+    }
+
+    auto boolean(const char *key, bool &value) -> void
+    {
+        const auto *found = find(key);
+        if (found == nullptr) {
+            return;
+        }
+        if (!found->is_boolean()) {
+            fail(key, "must be true or false");
+            return;
+        }
+        value = found->get<bool>();
+    }
+
+    template<typename Number>
+    auto number(const char *key, Number &value) -> void
+    {
+        const auto *found = find(key);
+        if (found == nullptr) {
+            return;
+        }
+        // Bounding the double first keeps the conversion of a huge number defined.
+        if (!found->is_number_integer() || found->get<double>() > 1e15 || found->get<double>() < -1e15) {
+            fail(key, "must be a whole number");
+            return;
+        }
+        const auto wide = found->get<std::int64_t>();
+        if (wide < std::numeric_limits<Number>::min() || wide > std::numeric_limits<Number>::max()) {
+            fail(key, "is out of range");
+            return;
+        }
+        value = static_cast<Number>(wide);
+    }
+
+    auto milliseconds(const char *key, std::chrono::milliseconds &value) -> void
+    {
+        auto count = std::int64_t(value.count());
+        number(key, count);
+        value = std::chrono::milliseconds(count);
+    }
+
+    template<typename Enum, typename Parse>
+    auto name(const char *key, Enum &value, const Parse &parse, std::string_view choices) -> void
+    {
+        std::string word;
+        text(key, word);
+        if (find(key) == nullptr) {
+            return;
+        }
+        const auto parsed = parse(word);
+        if (!parsed) {
+            fail(key, "must be one of " + std::string(choices));
+            return;
+        }
+        value = *parsed;
+    }
+
+private:
+    const json &object_;
+    std::string prefix_;
+    std::optional<JobSpecFault> &fault_;
+};
+
+auto readTask(Reader &parent, std::optional<JobSpecFault> &fault, Resources &task) -> void
+{
+    const auto *object = parent.find("task");
+    if (object == nullptr) {
+        return;
+    }
+    if (!object->is_object()) {
+        parent.fail("task", "must be an object");
+        return;
+    }
+    Reader reader(*object, "task.", fault);
+    reader.number("accelerators", task.accelerators_);
+    reader.number("cores", task.cores_);
+    reader.number("memory_mb", task.memoryMb_);
+}
+
+auto readZones(Reader &reader, std::vector<AvailabilityZoneId> &zones) -> void
+{
+    const auto *list = reader.find("availability_zones");
+    if (list == nullptr) {
+        return;
+    }
+    if (!list->is_array() || !std::all_of(list->begin(), list->end(), [](const json &item) {
+            return item.is_string();
+        })) {
+        reader.fail("availability_zones", "must be a list of strings");
+        return;
+    }
+    for (const auto &item : *list) {
+        zones.emplace_back(item.get<std::string>());
+    }
+}
+
+auto checkRange(std::string_view key, std::int64_t value, std::int64_t low, std::int64_t high) -> std::optional<JobSpecFault>
+{
+    if (value >= low && value <= high) {
+        return std::nullopt;
+    }
+    return JobSpecFault{std::string(key), "must be from " + std::to_string(low) + " to " + std::to_string(high) + ", not " + std::to_string(value)};
+}
+
+auto checkIdentifier(std::string_view key, const std::string &value) -> std::optional<JobSpecFault>
+{
+    if (isPlainIdentifier(value)) {
+        return std::nullopt;
+    }
+    return JobSpecFault{std::string(key), value.empty() ? "is missing" : "must be 1 to 128 letters, digits, '.', '_', ':' or '-'"};
+}
+
+auto checkZones(const std::vector<AvailabilityZoneId> &zones) -> std::optional<JobSpecFault>
+{
+    if (zones.size() > MaxZones) {
+        return JobSpecFault{"availability_zones", "must name at most " + std::to_string(MaxZones) + " availability zones"};
+    }
+    for (const auto &zone : zones) {
+        if (auto fault = checkIdentifier("availability_zones", zone.value())) {
+            return fault;
+        }
+    }
+    return std::nullopt;
+}
+} // namespace
+
+auto isPlainIdentifier(std::string_view text) -> bool
+{
+    constexpr std::string_view Allowed = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._:-";
+    return !text.empty() && text.size() <= MaxJobTextBytes && text.find_first_not_of(Allowed) == std::string_view::npos;
+}
+
+auto findFault(const JobSpec &spec) -> std::optional<JobSpecFault>
+{
+    if (spec.name_.size() > MaxJobTextBytes || !isPrintable(spec.name_)) {
+        return JobSpecFault{"name", "must be at most 128 bytes without control characters"};
+    }
+    const auto none = std::optional<JobSpecFault>();
+    for (const auto &fault : {
+             checkIdentifier("id", spec.id_.value()),
+             checkIdentifier("team", spec.team_.value()),
+             checkRange("gang_size", spec.gangSize_, 1, MaxGangSize),
+             checkRange("task.accelerators", spec.task_.accelerators_, 0, MaxCount),
+             checkRange("task.cores", spec.task_.cores_, 0, MaxCount),
+             checkRange("task.memory_mb", spec.task_.memoryMb_, 0, MaxMemoryMb),
+             checkRange("declared_run_time_ms", spec.declaredRunTime_.count(), 0, MaxTime.count()),
+             checkRange("grace_ms", spec.grace_.count(), 0, MaxTime.count()),
+             checkZones(spec.allowedZones_),
+         }) {
+        if (fault) {
+            return fault;
+        }
+    }
+    return none;
+}
+
+auto toJson(const JobSpec &spec) -> json
+{
+    auto zones = json::array();
+    for (const auto &zone : spec.allowedZones_) {
+        zones.push_back(zone.value());
+    }
+    return {
+        {"id", spec.id_.value()},
+        {"team", spec.team_.value()},
+        {"name", spec.name_},
+        {"gang_size", spec.gangSize_},
+        {"task", {{"accelerators", spec.task_.accelerators_}, {"cores", spec.task_.cores_}, {"memory_mb", spec.task_.memoryMb_}}},
+        {"adjacency", std::string(toString(spec.adjacency_))},
+        {"priority", std::string(toString(spec.priority_))},
+        {"declared_run_time_ms", spec.declaredRunTime_.count()},
+        {"availability_zones", std::move(zones)},
+        {"checkpointable", spec.checkpointable_},
+        {"grace_ms", spec.grace_.count()},
+    };
+}
+
+auto jobSpecFromJson(const json &object) -> Result<JobSpec>
+{
+    if (!object.is_object()) {
+        return Error{ErrorKind::InvalidRequest, "the job must be an object", std::nullopt};
+    }
+    JobSpec spec;
+    std::optional<JobSpecFault> fault;
+    Reader reader(object, "", fault);
+    std::string id;
+    std::string team;
+    reader.text("id", id);
+    reader.text("team", team);
+    spec.id_ = JobId(std::move(id));
+    spec.team_ = TeamId(std::move(team));
+    reader.text("name", spec.name_);
+    reader.number("gang_size", spec.gangSize_);
+    readTask(reader, fault, spec.task_);
+    reader.name("adjacency", spec.adjacency_, adjacencyFromString, "none, worker, rack");
+    reader.name("priority", spec.priority_, priorityClassFromString, "batch, normal, urgent");
+    reader.milliseconds("declared_run_time_ms", spec.declaredRunTime_);
+    readZones(reader, spec.allowedZones_);
+    reader.boolean("checkpointable", spec.checkpointable_);
+    reader.milliseconds("grace_ms", spec.grace_);
+    if (!fault) {
+        fault = findFault(spec);
+    }
+    if (fault) {
+        return Error{ErrorKind::InvalidRequest, "key '" + fault->key_ + "' " + fault->reason_, std::nullopt};
+    }
+    return spec;
+}
+} // namespace Marjoramfold
