--- /dev/null
+++ b/marjoramfold/membership/membership.cpp
@@ -0,0 +1,359 @@
+#include "marjoramfold/membership/membership.h"
+
+#include "marjoramfold/membership/digestexchange.h"
+#include "marjoramfold/membership/membershipstate.h"
+#include "marjoramfold/membership/memberupdates.h"
+#include "marjoramfold/membership/peerprober.h"
+
+#include <algorithm>
+
+namespace Marjoramfold
+{
+namespace
+{
+/// Contacts that are tried at once while no peer is known.
+constexpr std::size_t FirstContacts = 3;
+
+/// Interval of attempts while no peer is known.
+constexpr std::chrono::milliseconds FirstContactInterval{500};
+
+constexpr std::chrono::seconds PurgeInterval{10};
+
+/// A member reports at every heartbeat while its confirmation is fresher than its zone's by this much.
+constexpr std::chrono::milliseconds FresherBy{1'000};
+
+/// Fires at an interval.
+class IntervalTimer
+{
+public:
+    /// True when the interval passed since it last fired; missed firings are not made up for.
+    auto fires(SteadyTime now, SteadyTime::duration interval) -> bool
+    {
+        if (started_ && now < next_) {
+            return false;
+        }
+        next_ = started_ && now - next_ < interval ? next_ + interval : now + interval;
+        started_ = true;
+        return true;
+    }
+
+private:
+    SteadyTime next_;
+    bool started_ = false;
+};
+} // namespace
+
+/// The parts of the state machine, and what connects them.
+class Membership::Impl
+{
+public:
+    explicit Impl(MembershipOptions options)
+        : state_(std::move(options))
+        , updates_(state_)
+        , digests_(state_)
+        , prober_(state_)
+    {
+    }
+
+    auto handle(const MembershipEvent &event, SteadyTime now) -> std::vector<MembershipCommand>
+    {
+        state_.commands_.clear();
+        detectPause(now);
+        if (!left_) {
+            std::visit(
+                [this, now](const auto &specific) {
+                    on(specific, now);
+                },
+                event);
+            updates_.flush();
+            state_.detector_.monitor(state_.table_.predecessors(), now);
+            reportToNewDelegate(now);
+        }
+        return std::move(state_.commands_);
+    }
+
+    [[nodiscard]] auto view() const -> const MembershipView &
+    {
+        return state_.view_;
+    }
+
+private:
+    auto detectPause(SteadyTime now) -> void
+    {
+        if (lastCall_ && now - *lastCall_ > state_.options_.pauseThreshold_) {
+            state_.detector_.restart(now);
+            state_.commands_.emplace_back(PauseDetected{std::chrono::floor<std::chrono::milliseconds>(now - *lastCall_)});
+        }
+        lastCall_ = now;
+    }
+
+    auto on(const LocalStateChanged &change, SteadyTime now) -> void
+    {
+        auto &self = state_.self_;
+        const auto isNews = self.state_.ruleVersion_ != change.state_.ruleVersion_ || self.state_.logReadable_ != change.state_.logReadable_;
+        self.state_ = change.state_;
+        self.stateSetAt_ = now;
+        if (isNews) {
+            report(now);
+        }
+    }
+
+    auto on(const InstanceListRead &list, SteadyTime /*now*/) -> void
+    {
+        listed_.clear();
+        for (const auto &instance : list.instances_) {
+            if (instance.id_ != state_.options_.self_) {
+                listed_.push_back(instance.address_);
+            }
+        }
+    }
+
+    auto on(const DrainStarted & /*event*/, SteadyTime /*now*/) -> void
+    {
+        if (state_.self_.entry_.status_ == MemberStatus::Alive) {
+            state_.self_.entry_.status_ = MemberStatus::Leaving;
+            updates_.announceSelf();
+        }
+    }
+
+    auto on(const LeaveNow & /*event*/, SteadyTime /*now*/) -> void
+    {
+        state_.self_.entry_.status_ = MemberStatus::Left;
+        // Everyone is told directly, since this instance will not be there to answer questions.
+        for (const auto *peer : state_.table_.allLivePeers()) {
+            state_.send(peer->entry_.id_, MemberUpdate{{state_.self_.entry_}});
+        }
+        left_ = true;
+    }
+
+    auto on(const MembershipTick & /*tick*/, SteadyTime now) -> void
+    {
+        const auto &options = state_.options_;
+        for (const auto &action : state_.detector_.check(now)) {
+            if (action.kind_ == SilenceAction::Kind::Probe) {
+                prober_.probe(action.peer_);
+            } else {
+                updates_.confirmDead(action.peer_, now);
+            }
+        }
+        if (heartbeatTimer_.fires(now, options.heartbeatInterval_)) {
+            sendHeartbeats(now);
+        }
+        if (digestTimer_.fires(now, options.digestInterval_) && !options.fullMesh_) {
+            digests_.run(now);
+        }
+        if (antiEntropyTimer_.fires(now, options.antiEntropyInterval_)) {
+            updates_.sendAntiEntropy(now);
+        }
+        const auto isAlone = state_.table_.allLivePeers().empty();
+        if (contactTimer_.fires(now, isAlone ? FirstContactInterval : options.contactInterval_)) {
+            contact(isAlone ? FirstContacts : 1);
+        }
+        if (purgeTimer_.fires(now, PurgeInterval)) {
+            state_.table_.purge(now);
+        }
+        prober_.expire(now);
+    }
+
+    auto on(const PeerDatagram &datagram, SteadyTime now) -> void
+    {
+        // These need no known sender.
+        if (const auto *sync = std::get_if<SyncRequest>(&datagram.message_)) {
+            onSyncRequest(*sync, datagram, now);
+            return;
+        }
+        if (const auto *update = std::get_if<MemberUpdate>(&datagram.message_)) {
+            updates_.receive(*update, datagram.sender_, now);
+            noteSignOfLife(datagram, now);
+            return;
+        }
+        if (const auto *ping = std::get_if<Ping>(&datagram.message_)) {
+            state_.sendTo(datagram.sender_, datagram.fromAddress_, PingAck{ping->nonce_});
+        }
+        if (const auto *ack = std::get_if<PingAck>(&datagram.message_)) {
+            prober_.acknowledged(*ack, datagram.sender_, datagram.incarnation_);
+        }
+        if (!isFromLiveMember(datagram, now)) {
+            return;
+        }
+        noteSignOfLife(datagram, now);
+        const auto receivedAt = now - datagram.queued_;
+        if (const auto *heartbeat = std::get_if<Heartbeat>(&datagram.message_)) {
+            state_.table_.storeReport(datagram.sender_, heartbeat->state_, receivedAt);
+        } else if (const auto *digest = std::get_if<DigestMessage>(&datagram.message_)) {
+            onDigest(*digest, datagram, receivedAt, now);
+        } else if (const auto *gossip = std::get_if<ZoneGossip>(&datagram.message_)) {
+            digests_.receive(*gossip, receivedAt, now);
+        } else if (const auto *request = std::get_if<ProbeRequest>(&datagram.message_)) {
+            prober_.help(*request, datagram.sender_, datagram.fromAddress_, now);
+        } else if (const auto *answer = std::get_if<ProbeAnswer>(&datagram.message_)) {
+            onProbeAnswer(*answer, receivedAt);
+        }
+    }
+
+    auto onSyncRequest(const SyncRequest &sync, const PeerDatagram &datagram, SteadyTime now) -> void
+    {
+        if (sync.self_.id_ != datagram.sender_ || sync.self_.incarnation_ != datagram.incarnation_) {
+            return;
+        }
+        updates_.apply(sync.self_, {}, now);
+        updates_.sendTable(datagram.sender_, sync.self_.address_, now);
+    }
+
+    auto onDigest(const DigestMessage &message, const PeerDatagram &datagram, SteadyTime receivedAt, SteadyTime now) -> void
+    {
+        digests_.receive(message, datagram.sender_, datagram.incarnation_, receivedAt, now);
+        // The sender takes this instance for the delegate: tell it about the members that it does not know.
+        if (!state_.view_.isDelegate()) {
+            updates_.sendTable(datagram.sender_, datagram.fromAddress_, now);
+        }
+    }
+
+    auto onProbeAnswer(const ProbeAnswer &answer, SteadyTime receivedAt) -> void
+    {
+        const auto *member = state_.table_.find(answer.target_);
+        if (member != nullptr && member->entry_.incarnation_ == answer.incarnation_) {
+            state_.detector_.heard(answer.target_, receivedAt);
+        }
+    }
+
+    /// True when the sender is a live member in the known incarnation. Otherwise starts what brings the two views together.
+    auto isFromLiveMember(const PeerDatagram &datagram, SteadyTime now) -> bool
+    {
+        const auto *member = state_.table_.find(datagram.sender_);
+        if (member == nullptr || member->entry_.incarnation_ < datagram.incarnation_) {
+            state_.sendTo(datagram.sender_, datagram.fromAddress_, SyncRequest{state_.self_.entry_});
+            return false;
+        }
+        if (member->entry_.incarnation_ > datagram.incarnation_) {
+            return false;
+        }
+        if (const auto *heartbeat = std::get_if<Heartbeat>(&datagram.message_)) {
+            auto entry = member->entry_;
+            entry.refutation_ = heartbeat->refutation_;
+            entry.status_ = heartbeat->status_;
+            updates_.apply(entry, state_.options_.zone_, now);
+        }
+        if (!isLive(member->entry_)) {
+            // The sender lives although its death was confirmed: it learns of that and refutes it.
+            if (auto entry = state_.table_.exported(*member, now)) {
+                state_.sendTo(datagram.sender_, datagram.fromAddress_, MemberUpdate{{std::move(*entry)}});
+            }
+            return false;
+        }
+        return true;
+    }
+
+    auto noteSignOfLife(const PeerDatagram &datagram, SteadyTime now) -> void
+    {
+        const auto *member = state_.table_.find(datagram.sender_);
+        if (member != nullptr && member->entry_.incarnation_ == datagram.incarnation_) {
+            state_.detector_.heard(datagram.sender_, now - datagram.queued_);
+        }
+    }
+
+    auto heartbeat(SteadyTime now) const -> Heartbeat
+    {
+        return {state_.self_.entry_.refutation_, state_.self_.entry_.status_, state_.view_.localState(now)};
+    }
+
+    auto sendHeartbeats(SteadyTime now) -> void
+    {
+        const auto successors = state_.table_.successors();
+        for (const auto &peer : successors) {
+            state_.send(peer, heartbeat(now));
+        }
+        const auto delegate = state_.table_.delegateOf(state_.options_.zone_);
+        const auto isCovered = std::find(successors.begin(), successors.end(), delegate) != successors.end();
+        if (!isCovered && (now - lastReport_ >= state_.options_.reportInterval_ || isFresherThanZone(now))) {
+            report(now);
+        }
+    }
+
+    /// Sends this instance's state to the delegate of its zone.
+    auto report(SteadyTime now) -> void
+    {
+        const auto delegate = state_.table_.delegateOf(state_.options_.zone_);
+        if (delegate != state_.options_.self_) {
+            state_.send(delegate, heartbeat(now));
+        }
+        lastReport_ = now;
+    }
+
+    auto reportToNewDelegate(SteadyTime now) -> void
+    {
+        if (auto delegate = state_.table_.delegateOf(state_.options_.zone_); delegate != delegate_) {
+            delegate_ = std::move(delegate);
+            report(now);
+        }
+    }
+
+    /// True when this instance's confirmation is much fresher than the one that its zone relays.
+    auto isFresherThanZone(SteadyTime now) const -> bool
+    {
+        const auto own = state_.view_.localState(now).confirmationAge_;
+        const auto *known = state_.knowledge_.find(state_.options_.zone_);
+        if (!own || known == nullptr) {
+            return own.has_value();
+        }
+        const auto &stated = known->digest_.confirmationAge_;
+        return !stated || *own + FresherBy < *stated + (now - known->madeAt_);
+    }
+
+    /// Introduces this instance at addresses where no live member is known, so that partitions heal.
+    auto contact(std::size_t count) -> void
+    {
+        auto addresses = state_.options_.seeds_;
+        addresses.insert(addresses.end(), listed_.begin(), listed_.end());
+        for (const auto &[id, member] : state_.table_.members()) {
+            if (member.entry_.status_ == MemberStatus::Dead) {
+                addresses.push_back(member.entry_.address_);
+            }
+        }
+        std::sort(addresses.begin(), addresses.end());
+        addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
+        std::erase(addresses, state_.options_.address_);
+        for (const auto *peer : state_.table_.allLivePeers()) {
+            std::erase(addresses, peer->entry_.address_);
+        }
+        for (std::size_t i = 0; i < std::min(count, addresses.size()); ++i) {
+            state_.sendTo({}, addresses[contactCursor_++ % addresses.size()], SyncRequest{state_.self_.entry_});
+        }
+    }
+
+    MembershipState state_;
+    MemberUpdates updates_;
+    DigestExchange digests_;
+    PeerProber prober_;
+    std::optional<SteadyTime> lastCall_;
+    IntervalTimer heartbeatTimer_;
+    IntervalTimer digestTimer_;
+    IntervalTimer antiEntropyTimer_;
+    IntervalTimer contactTimer_;
+    IntervalTimer purgeTimer_;
+    SteadyTime lastReport_;
+    InstanceId delegate_;
+    std::vector<std::string> listed_;
+    std::size_t contactCursor_ = 0;
+    bool left_ = false;
+};
+
+Membership::Membership(MembershipOptions options)
+    : impl_(std::make_unique<Impl>(std::move(options)))
+{
+}
+
+Membership::~Membership() = default;
+Membership::Membership(Membership &&) noexcept = default;
+auto Membership::operator=(Membership &&) noexcept -> Membership & = default;
+
+auto Membership::handle(const MembershipEvent &event, SteadyTime now) -> std::vector<MembershipCommand>
+{
+    return impl_->handle(event, now);
+}
+
+auto Membership::view() const -> const MembershipView &
+{
+    return impl_->view();
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/membership/membershipstate.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "marjoramfold/membership/failuredetector.h"
+#include "marjoramfold/membership/membershipmessages.h"
+#include "marjoramfold/membership/membershipview.h"
+#include "marjoramfold/membership/membertable.h"
+#include "marjoramfold/membership/zoneknowledge.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// The state that the parts of Membership share, and the commands that one event brought so far.
+struct MembershipState {
+    explicit MembershipState(MembershipOptions options)
+        : options_(std::move(options))
+        , table_(options_)
+        , detector_(options_)
+        , view_(options_, self_, table_, knowledge_, detector_)
+    {
+        self_.entry_ = {options_.self_, options_.zone_, options_.address_, options_.incarnation_, 0, MemberStatus::Alive, std::chrono::seconds(0)};
+    }
+
+    MembershipState(const MembershipState &) = delete;
+    auto operator=(const MembershipState &) -> MembershipState & = delete;
+
+    /// Sends to a known member.
+    auto send(const InstanceId &recipient, PeerMessage message) -> void
+    {
+        if (const auto *member = table_.find(recipient)) {
+            sendTo(recipient, member->entry_.address_, std::move(message));
+        }
+    }
+
+    /// Sends to an address; an empty recipient stands for an unknown one.
+    auto sendTo(const InstanceId &recipient, const std::string &address, PeerMessage message) -> void
+    {
+        commands_.emplace_back(SendDatagram{recipient, address, std::move(message)});
+    }
+
+    MembershipOptions options_;
+    LocalMember self_;
+    MemberTable table_;
+    ZoneKnowledge knowledge_;
+    FailureDetector detector_;
+    MembershipView view_;
+    std::vector<MembershipCommand> commands_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/membership/zoneknowledge.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "marjoramfold/core/clock.h"
+#include "marjoramfold/membership/peermessages.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// The newest digest of an availability zone, on this instance's clock.
+struct KnownDigest {
+    /// The digest with its age as stated on arrival.
+    ZoneDigest digest_;
+    /// When the delegate made the digest at the latest possible age, by this instance's clock.
+    SteadyTime madeAt_;
+    /// True when the age of the confirmation cannot understate the truth because of a slow network.
+    bool confirmationBounded_ = true;
+};
+
+/// When a rule version came into force on all live instances of a zone, as far as this instance saw it.
+struct InForceRecord {
+    Offset version_ = 0;
+    SteadyTime seenAt_;
+};
+
+/// Digests and capacities of all availability zones. Pure.
+class ZoneKnowledge
+{
+public:
+    /// Takes a digest that was made at a time by this instance's clock, unless a newer one is known. True when it was taken.
+    auto mergeDigest(const ZoneDigest &digest, SteadyTime madeAt, bool confirmationBounded, SteadyTime now) -> bool;
+
+    /// Takes the newer statement about the capacity of a zone.
+    auto mergeCapacity(const ZoneCapacity &capacity) -> void;
+
+    /// The newest digest of a zone, of any age.
+    [[nodiscard]] auto find(const AvailabilityZoneId &zone) const -> const KnownDigest *;
+
+    [[nodiscard]] auto all() const -> const std::map<AvailabilityZoneId, KnownDigest> &;
+
+    /// The newest statement about the capacity of a zone.
+    [[nodiscard]] auto capacity(const AvailabilityZoneId &zone) const -> const ZoneCapacity *;
+
+    [[nodiscard]] auto capacities() const -> const std::map<AvailabilityZoneId, ZoneCapacity> &;
+
+    /// When a version, or a newer one, was first seen in force on all live instances of a zone.
+    [[nodiscard]] auto inForceSince(const AvailabilityZoneId &zone, Offset version) const -> std::optional<SteadyTime>;
+
+    /// Digests as they are passed on now, with their ages brought up to date; those over an age are left out.
+    [[nodiscard]] auto exported(SteadyTime now, std::chrono::milliseconds maxAge) const -> std::vector<ZoneDigest>;
+
+private:
+    std::map<AvailabilityZoneId, KnownDigest> digests_;
+    std::map<AvailabilityZoneId, ZoneCapacity> capacities_;
+    std::map<AvailabilityZoneId, std::vector<InForceRecord>> inForce_;
+};
+
+/// Lowest version in force among the live instances of a digest; 0 when one has not reported.
+[[nodiscard]] auto lowestVersion(const ZoneDigest &digest) -> Offset;
+
+/// Number of live instances of a digest that have not confirmed a version.
+[[nodiscard]] auto unconfirmedInstances(const ZoneDigest &digest, Offset version) -> unsigned;
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/observability/logline.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <source_location>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace Marjoramfold
+{
+/// Severity of a log line.
+enum class LogSeverity {
+    Info,
+    Warning,
+    Error,
+};
+
+/// A log line `event key=value ...`, written through glog when it goes out of scope. Ids come first, whatever the order of the calls.
+///
+/// Values are quoted when they are empty or hold a space, '=', '"', '\' or a control character. Inside quotes, '"' and '\' are
+/// preceded by '\', and control characters are written as \n, \r, \t or \xNN, so that a line stays one line.
+class LogLine
+{
+public:
+    LogLine(LogSeverity severity, std::string_view event, std::source_location location = std::source_location::current());
+    ~LogLine();
+    LogLine(const LogLine &) = delete;
+    auto operator=(const LogLine &) -> LogLine & = delete;
+
+    /// The request that the line is about.
+    auto request(std::string_view id) -> LogLine &;
+
+    /// The job that the line is about.
+    auto job(std::string_view id) -> LogLine &;
+
+    /// Adds a text.
+    auto with(std::string_view key, std::string_view value) -> LogLine &;
+
+    /// Adds a number or a truth value.
+    template<typename Value>
+    requires std::is_arithmetic_v<Value>
+    auto with(std::string_view key, Value value) -> LogLine &
+    {
+        if constexpr (std::is_same_v<Value, bool>) {
+            return with(key, value ? std::string_view("true") : std::string_view("false"));
+        } else {
+            return with(key, std::string_view(std::to_string(value)));
+        }
+    }
+
+    /// The line so far, as it will be written.
+    [[nodiscard]] auto text() const -> std::string;
+
+private:
+    LogSeverity severity_;
+    std::string event_;
+    std::source_location location_;
+    std::string ids_;
+    std::string fields_;
+};
+
+/// A value as it stands in a log line, quoted if needed.
+[[nodiscard]] auto quoteLogValue(std::string_view value) -> std::string;
+} // namespace Marjoramfold
