Repair member tables that differ between zones

Cause: a new delegate did not pass on deaths that it had learned of before it became the delegate, so other zones kept the dead instances. Change: digests carry a fingerprint of the zone's live members; a delegate that sees a difference for 2 s asks for the table, and its members ask it.

--- a/marjoramfold/membership/digestexchange.cpp
+++ b/marjoramfold/membership/digestexchange.cpp
@@ -12,6 +12,9 @@
 /// Digests older than this are not passed on; nothing that depends on them is decided by then.
 constexpr std::chrono::milliseconds MaxGossipAge{10'000};
 
+/// Time that differing members get to become equal by the broadcast of the change, before a table is asked for.
+constexpr std::chrono::milliseconds RepairAfter{2'000};
+
 /// Start of the counter of a process. Another run starts elsewhere, so that an echo meant for an earlier run of the same
 /// instance does not name a digest of this one.
 auto firstCounter(Incarnation incarnation) -> std::uint32_t
@@ -131,6 +134,25 @@
     forward(message);
 }
 
+auto DigestExchange::repairMembers(SteadyTime now) -> void
+{
+    for (const auto &[zone, known] : state_.knowledge_.all()) {
+        const auto isOld = now - known.madeAt_ > state_.options_.answerTimeout_;
+        if (isOld || known.digest_.membersFingerprint_ == state_.table_.fingerprint(zone, state_.self_.entry_)) {
+            differing_.erase(zone);
+            continue;
+        }
+        const auto [since, isNew] = differing_.try_emplace(zone, now);
+        if (isNew || now - since->second < RepairAfter) {
+            continue;
+        }
+        since->second = now;
+        // A delegate asks the other zone's delegate; other members ask their own delegate.
+        const auto own = state_.table_.delegateOf(state_.options_.zone_);
+        state_.send(own == state_.options_.self_ ? known.digest_.delegate_ : own, SyncRequest{state_.self_.entry_});
+    }
+}
+
 auto DigestExchange::forward(const ZoneGossip &message) -> void
 {
     // Each member passes gossip on to two others, so that every member but the delegate hears it from about two and one failed
--- a/marjoramfold/membership/digestexchange.h
+++ b/marjoramfold/membership/digestexchange.h
@@ -22,6 +22,9 @@
     /// Takes gossip and passes it on once.
     auto receive(ZoneGossip message, SteadyTime receivedAt, SteadyTime now) -> void;
 
+    /// Asks for a member table when the digest of a zone has shown other members than the own table for some time.
+    auto repairMembers(SteadyTime now) -> void;
+
 private:
     struct SentDigest {
         std::uint32_t counter_ = 0;
@@ -51,5 +54,7 @@
     std::deque<SentDigest> sent_;
     std::map<InstanceId, ReceivedDigest> received_;
     std::map<InstanceId, SeenGossip> seen_;
+    /// Since when the members of a zone have differed.
+    std::map<AvailabilityZoneId, SteadyTime> differing_;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/membership/membership.cpp
+++ b/marjoramfold/membership/membership.cpp
@@ -141,6 +141,7 @@
         }
         if (digestTimer_.fires(now, options.digestInterval_) && !options.fullMesh_) {
             digests_.run(now);
+            digests_.repairMembers(now);
         }
         if (antiEntropyTimer_.fires(now, options.antiEntropyInterval_)) {
             updates_.sendAntiEntropy(now);
--- a/marjoramfold/membership/membershipview.cpp
+++ b/marjoramfold/membership/membershipview.cpp
@@ -168,6 +168,7 @@
     digest.logState_ = combineLogStates(states);
     digest.versions_ = countVersions(states);
     digest.delegateHasNewest_ = digest.versions_.front().version_ == self_.state_.ruleVersion_;
+    digest.membersFingerprint_ = table_.fingerprint(options_.zone_, self_.entry_);
     digest.liveInstances_ = static_cast<std::uint16_t>(states.size());
     digest.drainingInstances_ = self_.entry_.status_ == MemberStatus::Leaving ? 1 : 0;
     for (const auto *peer : table_.livePeers(options_.zone_)) {
--- a/marjoramfold/membership/membertable.cpp
+++ b/marjoramfold/membership/membertable.cpp
@@ -13,6 +13,19 @@
 {
     return {entry.incarnation_, entry.refutation_, entry.status_};
 }
+
+/// FNV-1a hash of what others must know about a live member. std::hash may differ between builds.
+auto hashOf(const MemberEntry &entry) -> std::uint32_t
+{
+    constexpr std::uint32_t OffsetBasis = 2'166'136'261U;
+    constexpr std::uint32_t Prime = 16'777'619U;
+    auto hash = OffsetBasis;
+    const auto text = entry.id_.value() + '/' + std::to_string(entry.incarnation_) + '/' + std::to_string(static_cast<int>(entry.status_));
+    for (const auto c : text) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * Prime;
+    }
+    return hash;
+}
 } // namespace
 
 auto isLive(const MemberEntry &entry) -> bool
@@ -157,6 +170,16 @@
     return {found.begin(), found.end()};
 }
 
+auto MemberTable::fingerprint(const AvailabilityZoneId &zone, const MemberEntry &self) const -> std::uint32_t
+{
+    // The sum of one hash for each member does not depend on the order, so that the own entry needs no place in it.
+    std::uint32_t sum = self.zone_ == zone && isLive(self) ? hashOf(self) : 0;
+    for (const auto *peer : livePeers(zone)) {
+        sum += hashOf(peer->entry_);
+    }
+    return sum;
+}
+
 auto MemberTable::exported(const Member &member, SteadyTime now) const -> std::optional<MemberEntry>
 {
     auto entry = member.entry_;
--- a/marjoramfold/membership/membertable.h
+++ b/marjoramfold/membership/membertable.h
@@ -70,6 +70,9 @@
     /// Availability zones of live members and of this instance, in order.
     [[nodiscard]] auto zones() const -> std::vector<AvailabilityZoneId>;
 
+    /// Fingerprint of the live members of a zone, equal at all instances with equal entries. The own entry is passed in.
+    [[nodiscard]] auto fingerprint(const AvailabilityZoneId &zone, const MemberEntry &self) const -> std::uint32_t;
+
     /// The entry of a member as it is passed on now; empty when it ended too long ago to be passed on.
     [[nodiscard]] auto exported(const Member &member, SteadyTime now) const -> std::optional<MemberEntry>;
 
--- a/marjoramfold/membership/peermessages.cpp
+++ b/marjoramfold/membership/peermessages.cpp
@@ -83,6 +83,7 @@
     codec.boolean(digest.delegateHasNewest_);
     codec.number(digest.liveInstances_);
     codec.number(digest.drainingInstances_);
+    codec.number(digest.membersFingerprint_);
     list(codec, digest.versions_, MaxVersionsInDigest);
 }
 
--- a/marjoramfold/membership/peermessages.h
+++ b/marjoramfold/membership/peermessages.h
@@ -118,6 +118,8 @@
     bool delegateHasNewest_ = false;
     std::uint16_t liveInstances_ = 0;
     std::uint16_t drainingInstances_ = 0;
+    /// Fingerprint of the live members of the zone, so that others notice when their member tables differ.
+    std::uint32_t membersFingerprint_ = 0;
     /// Versions in force, newest first. Instances that have not reported count under version 0.
     std::vector<VersionCount> versions_;
 };
