--- a/marjoramfold/core/job.h
+++ b/marjoramfold/core/job.h
@@ -74,6 +74,8 @@
     bool checkpointable_ = true;
     /// Time that a task needs to checkpoint before it is stopped.
     std::chrono::milliseconds grace_{0};
+    /// What the workers run, opaque to the scheduler.
+    std::string payload_;
 };
 
 /// A worker as the platform describes it.
--- a/marjoramfold/http/httpclient.cpp
+++ b/marjoramfold/http/httpclient.cpp
@@ -169,11 +169,12 @@
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
-        if (request.method_ == "POST") {
+        if (!request.body_.empty() || request.method_ == "POST") {
             curl_easy_setopt(easy, CURLOPT_POST, 1L);
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body_.size()));
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body_.data());
-        } else if (request.method_ != "GET") {
+        }
+        if (request.method_ != "GET" && request.method_ != "POST") {
             curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method_.c_str());
         }
         // Without this, libcurl waits for "100 Continue" before it sends larger bodies.
