--- /dev/null
+++ b/marjoramfold/entry/workerlink.cpp
@@ -0,0 +1,98 @@
+#include "marjoramfold/entry/workerlink.h"
+
+#include <utility>
+
+namespace Marjoramfold
+{
+namespace
+{
+// One waiting query per worker; its answer refreshes lagging usage when no task changes.
+constexpr std::chrono::milliseconds QueryWait{10'000};
+constexpr std::chrono::milliseconds RetryDelay{500};
+constexpr std::chrono::milliseconds LossTimeout{3'000};
+} // namespace
+
+WorkerLink::WorkerLink(asio::io_context &context, WorkerClient &client, WorkerInfo worker, Epoch epoch, WorkerLinkHooks hooks)
+    : client_(client)
+    , timer_(context)
+    , worker_(std::move(worker))
+    , epoch_(epoch)
+    , hooks_(std::move(hooks))
+{
+}
+
+auto WorkerLink::start() -> void
+{
+    query();
+}
+
+auto WorkerLink::close() -> void
+{
+    closed_ = true;
+    timer_.cancel();
+}
+
+auto WorkerLink::worker() const -> const WorkerInfo &
+{
+    return worker_;
+}
+
+auto WorkerLink::isReachable() const -> bool
+{
+    return reachable_;
+}
+
+auto WorkerLink::query() -> void
+{
+    // The first query of a link, and the first after a failure, must not wait: they also fence.
+    const auto wait = reachable_ ? QueryWait : std::chrono::milliseconds(0);
+    client_.fetchInventory(worker_.address_, epoch_, seenVersion_, wait, [self = shared_from_this()](Result<WorkerInventory> answer) {
+        if (!self->closed_) {
+            self->handleAnswer(std::move(answer));
+        }
+    });
+}
+
+auto WorkerLink::handleAnswer(Result<WorkerInventory> answer) -> void
+{
+    if (isOk(answer)) {
+        const auto inventory = valueOf(std::move(answer));
+        failing_ = false;
+        lost_ = false;
+        reachable_ = true;
+        worker_.capacity_ = inventory.capacity_;
+        worker_.rack_ = inventory.rack_;
+        hooks_.inventory_(worker_, inventory);
+        seenVersion_ = inventory.version_;
+        if (!closed_) {
+            query();
+        }
+        return;
+    }
+    if (errorOf(answer).kind_ == ErrorKind::StaleEpoch) {
+        hooks_.staleEpoch_();
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (!failing_) {
+        failing_ = true;
+        firstFailure_ = now;
+    }
+    reachable_ = false;
+    if (!lost_ && now - firstFailure_ >= LossTimeout) {
+        lost_ = true;
+        hooks_.lost_(worker_.id_);
+    }
+    queryAfter(RetryDelay);
+}
+
+auto WorkerLink::queryAfter(std::chrono::milliseconds delay) -> void
+{
+    timer_.expires_after(delay);
+    timer_.async_wait([self = shared_from_this()](const std::error_code &error) {
+        if (!error && !self->closed_) {
+            self->query();
+        }
+    });
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/entry/zoneruntime.cpp
@@ -0,0 +1,497 @@
+#include "marjoramfold/entry/zoneruntime.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Marjoramfold
+{
+namespace
+{
+// A worker that does not answer for this long is taken as unreachable in a takeover.
+constexpr std::chrono::milliseconds FenceTimeout{2'000};
+
+// A former owner may renew until its own lease of 15 s lapses, and a task runs on for a lease of 60 s after that.
+constexpr std::chrono::milliseconds UncertainWait{75'000};
+
+auto isEnded(WorkerTaskState state) -> bool
+{
+    return state == WorkerTaskState::Finished || state == WorkerTaskState::Failed || state == WorkerTaskState::Lapsed;
+}
+
+auto outcomeOf(WorkerTaskState state) -> TaskOutcome
+{
+    switch (state) {
+    case WorkerTaskState::Finished:
+        return TaskOutcome::Finished;
+    case WorkerTaskState::Failed:
+        return TaskOutcome::Failed;
+    default:
+        return TaskOutcome::LeaseLapsed;
+    }
+}
+
+auto toWorkerKind(TaskCommandKind kind) -> WorkerCommandKind
+{
+    switch (kind) {
+    case TaskCommandKind::Hold:
+        return WorkerCommandKind::Hold;
+    case TaskCommandKind::Start:
+        return WorkerCommandKind::Start;
+    case TaskCommandKind::Renew:
+        return WorkerCommandKind::Renew;
+    case TaskCommandKind::Checkpoint:
+        return WorkerCommandKind::Checkpoint;
+    case TaskCommandKind::Throttle:
+        return WorkerCommandKind::Throttle;
+    case TaskCommandKind::Stop:
+        return WorkerCommandKind::Stop;
+    }
+    return WorkerCommandKind::Stop;
+}
+} // namespace
+
+ZoneRuntime::ZoneRuntime(asio::io_context &context, WorkerClient &client, AvailabilityZoneId zone, Epoch epoch, RuleSetPointer rules, ZoneRuntimeHooks hooks)
+    : context_(context)
+    , client_(client)
+    , zone_(std::move(zone))
+    , epoch_(epoch)
+    , rules_(std::move(rules))
+    , hooks_(std::move(hooks))
+    , scheduler_({zone_}, SchedulerOptions())
+{
+}
+
+auto ZoneRuntime::start(const std::vector<WorkerInfo> &workers, std::vector<KnownJob> jobs) -> void
+{
+    fenceDeadline_ = std::chrono::steady_clock::now() + FenceTimeout;
+    jobsAtStart_ = std::move(jobs);
+    for (const auto &worker : workers) {
+        openLink(worker);
+    }
+    LOG(INFO) << "zone_takeover_started availability_zone=" << zone_.value() << " epoch=" << epoch_.claim_ << " rank=" << epoch_.rank_
+              << " workers=" << workers.size() << " jobs=" << jobsAtStart_.size();
+}
+
+auto ZoneRuntime::close() -> void
+{
+    closed_ = true;
+    scheduling_ = false;
+    for (auto &[id, link] : links_) {
+        link->close();
+    }
+}
+
+auto ZoneRuntime::setWorkers(const std::vector<WorkerInfo> &workers, const std::set<WorkerId> &leaving) -> void
+{
+    for (const auto &worker : workers) {
+        const auto found = links_.find(worker.id_);
+        if (found == links_.end()) {
+            openLink(worker);
+        } else if (found->second->worker().address_ != worker.address_) {
+            // The worker was replaced under the same name: nothing of the old one is left.
+            found->second->close();
+            links_.erase(found);
+            handleLost(worker.id_);
+            openLink(worker);
+        }
+    }
+    for (const auto &worker : leaving) {
+        if (leaving_.insert(worker).second && scheduling_) {
+            decide(WorkerLeaving{worker});
+        }
+    }
+}
+
+auto ZoneRuntime::setRules(RuleSetPointer rules) -> void
+{
+    rules_ = std::move(rules);
+    if (scheduling_) {
+        decide(RulesChanged{rules_});
+    }
+}
+
+auto ZoneRuntime::addJob(KnownJob job) -> void
+{
+    if (scheduling_) {
+        arrive(job);
+    } else {
+        jobsAtStart_.push_back(std::move(job));
+    }
+}
+
+auto ZoneRuntime::cancelJobs(std::vector<JobId> jobs) -> void
+{
+    const auto isCancelled = [&jobs](const KnownJob &job) {
+        return std::find(jobs.begin(), jobs.end(), job.spec_.id_) != jobs.end();
+    };
+    std::erase_if(jobsAtStart_, isCancelled);
+    std::erase_if(uncertain_.jobs_, isCancelled);
+    if (scheduling_) {
+        decide(JobsCancelled{std::move(jobs)});
+    }
+}
+
+auto ZoneRuntime::tick() -> void
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (closed_) {
+        return;
+    }
+    if (!scheduling_) {
+        if (inventories_.size() == links_.size() || now >= fenceDeadline_) {
+            finishFencing();
+        }
+        return;
+    }
+    const auto mayStart = hooks_.mayStart_();
+    if (mayStart != gateOpen_) {
+        gateOpen_ = mayStart;
+        decide(StartGateChanged{zone_, mayStart});
+    }
+    placeUncertainJobs(now);
+    decide(Tick{});
+}
+
+auto ZoneRuntime::isScheduling() const -> bool
+{
+    return scheduling_;
+}
+
+auto ZoneRuntime::zone() const -> const AvailabilityZoneId &
+{
+    return zone_;
+}
+
+auto ZoneRuntime::epoch() const -> Epoch
+{
+    return epoch_;
+}
+
+auto ZoneRuntime::explain(const JobId &job) const -> std::optional<JobExplanation>
+{
+    return scheduler_.explain(job);
+}
+
+auto ZoneRuntime::summarize() const -> ZoneSummary
+{
+    return scheduler_.summarize(zone_);
+}
+
+auto ZoneRuntime::openLink(const WorkerInfo &worker) -> void
+{
+    WorkerLinkHooks hooks;
+    hooks.inventory_ = [weak = weak_from_this()](const WorkerInfo &info, const WorkerInventory &inventory) {
+        if (const auto self = weak.lock()) {
+            self->handleInventory(info, inventory);
+        }
+    };
+    hooks.lost_ = [weak = weak_from_this()](const WorkerId &id) {
+        if (const auto self = weak.lock()) {
+            self->handleLost(id);
+        }
+    };
+    hooks.staleEpoch_ = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->hooks_.staleEpoch_();
+        }
+    };
+    auto link = std::make_shared<WorkerLink>(context_, client_, worker, epoch_, std::move(hooks));
+    links_[worker.id_] = link;
+    link->start();
+}
+
+auto ZoneRuntime::handleInventory(const WorkerInfo &worker, const WorkerInventory &inventory) -> void
+{
+    if (closed_) {
+        return;
+    }
+    const auto isNew = !inventories_.contains(worker.id_);
+    inventories_[worker.id_] = inventory;
+    if (!scheduling_) {
+        return;
+    }
+    if (isNew) {
+        decide(WorkerUp{worker});
+        // Tasks that a worker still runs after it was lost belong to gangs that were stopped meanwhile.
+        std::vector<StrayTask> strays;
+        for (const auto &task : inventory.tasks_) {
+            if (!isEnded(task.state_) && task.state_ != WorkerTaskState::Stopped) {
+                strays.push_back({task.task_, worker.id_});
+            }
+        }
+        stopStrays(strays);
+    }
+    if (inventory.leaving_ && leaving_.insert(worker.id_).second) {
+        decide(WorkerLeaving{worker.id_});
+    }
+    reportChanges(worker, inventory);
+}
+
+auto ZoneRuntime::reportChanges(const WorkerInfo &worker, const WorkerInventory &inventory) -> void
+{
+    auto &reported = reportedEnds_[worker.id_];
+    std::set<TaskId> stillListed;
+    for (const auto &task : inventory.tasks_) {
+        if (isEnded(task.state_)) {
+            stillListed.insert(task.task_);
+            if (!reported.contains(task.task_)) {
+                decide(TaskEnded{task.task_, worker.id_, outcomeOf(task.state_), task.reason_});
+            }
+        } else if (task.state_ == WorkerTaskState::Running && task.used_.memoryMb_ > 0) {
+            decide(UsageReported{task.task_, worker.id_, task.used_, task.usageLag_});
+        }
+    }
+    reported = std::move(stillListed);
+}
+
+auto ZoneRuntime::handleLost(const WorkerId &worker) -> void
+{
+    inventories_.erase(worker);
+    reportedEnds_.erase(worker);
+    LOG(WARNING) << "worker_lost worker=" << worker.value() << " availability_zone=" << zone_.value();
+    if (scheduling_) {
+        decide(WorkerDown{worker});
+    }
+}
+
+auto ZoneRuntime::finishFencing() -> void
+{
+    // Every worker that answered refuses the former owner from here on.
+    scheduling_ = true;
+    std::set<WorkerId> unreachable;
+    for (const auto &[id, link] : links_) {
+        if (!inventories_.contains(id)) {
+            unreachable.insert(id);
+        }
+    }
+    decide(RulesChanged{rules_});
+    gateOpen_ = hooks_.mayStart_();
+    decide(StartGateChanged{zone_, gateOpen_});
+    for (const auto &[id, inventory] : inventories_) {
+        decide(WorkerUp{links_.at(id)->worker()});
+        if (inventory.leaving_ || leaving_.contains(id)) {
+            leaving_.insert(id);
+            decide(WorkerLeaving{id});
+        }
+    }
+    auto plan = planTakeover(jobsAtStart_, inventories_, unreachable);
+    LOG(INFO) << "zone_takeover_done availability_zone=" << zone_.value() << " epoch=" << epoch_.claim_ << " unreachable_workers=" << unreachable.size()
+              << " surviving_gangs=" << plan.survivors_.size() << " stray_tasks=" << plan.strays_.size() << " waiting_jobs=" << plan.waiting_.size()
+              << " uncertain_jobs=" << plan.uncertain_.size();
+    stopStrays(plan.strays_);
+    for (const auto &survivor : plan.survivors_) {
+        payloads_[survivor.job_.spec_.id_] = survivor.job_.spec_.payload_;
+        decide(GangRecovered{survivor.job_.spec_, survivor.job_.age_, survivor.placements_, survivor.job_.progress_});
+    }
+    for (const auto &job : plan.waiting_) {
+        arrive(job);
+    }
+    uncertain_ = {std::chrono::steady_clock::now() + UncertainWait, std::move(plan.uncertain_)};
+    jobsAtStart_.clear();
+    for (const auto &[id, link] : links_) {
+        const auto inventory = inventories_.find(id);
+        if (inventory != inventories_.end()) {
+            reportChanges(link->worker(), WorkerInventory(inventory->second));
+        }
+    }
+}
+
+auto ZoneRuntime::stopStrays(const std::vector<StrayTask> &strays) -> void
+{
+    std::map<WorkerId, WorkerCommandBatch> batches;
+    for (const auto &stray : strays) {
+        auto &batch = batches[stray.worker_];
+        batch.epoch_ = epoch_;
+        WorkerCommand stop;
+        stop.kind_ = WorkerCommandKind::Stop;
+        stop.task_ = stray.task_;
+        batch.commands_.push_back(stop);
+    }
+    for (const auto &[worker, batch] : batches) {
+        client_.send(addressOf(worker), batch, "", [weak = weak_from_this()](const Result<std::vector<WorkerCommandResult>> &result) {
+            const auto self = weak.lock();
+            if (self && !isOk(result) && errorOf(result).kind_ == ErrorKind::StaleEpoch) {
+                self->hooks_.staleEpoch_();
+            }
+        });
+    }
+}
+
+auto ZoneRuntime::placeUncertainJobs(SteadyTime now) -> void
+{
+    if (uncertain_.jobs_.empty() || now < uncertain_.until_) {
+        return;
+    }
+    const auto jobs = std::exchange(uncertain_.jobs_, {});
+    for (const auto &job : jobs) {
+        arrive(job);
+    }
+}
+
+auto ZoneRuntime::arrive(const KnownJob &job) -> void
+{
+    payloads_[job.spec_.id_] = job.spec_.payload_;
+    decide(JobArrived{job.spec_, job.age_, job.attempt_, job.progress_});
+}
+
+auto ZoneRuntime::decide(const SchedulerEvent &event) -> void
+{
+    if (!closed_) {
+        carryOut(scheduler_.handle(event, std::chrono::steady_clock::now()));
+    }
+}
+
+auto ZoneRuntime::carryOut(const std::vector<SchedulerCommand> &commands) -> void
+{
+    std::map<WorkerId, std::vector<TaskCommand>> perWorker;
+    for (const auto &command : commands) {
+        if (const auto *task = std::get_if<TaskCommand>(&command)) {
+            perWorker[task->worker_].push_back(*task);
+        } else if (const auto *renewals = std::get_if<RenewLeases>(&command)) {
+            sendRenewals(*renewals);
+        } else if (const auto *probe = std::get_if<ProbeWorker>(&command)) {
+            sendProbe(*probe);
+        } else {
+            if (const auto *ended = std::get_if<JobEnded>(&command)) {
+                payloads_.erase(ended->job_);
+            }
+            hooks_.record_(command);
+        }
+    }
+    for (auto &[worker, list] : perWorker) {
+        sendTaskCommands(worker, std::move(list));
+    }
+}
+
+auto ZoneRuntime::sendTaskCommands(const WorkerId &worker, std::vector<TaskCommand> commands) -> void
+{
+    // A stop is answered after its grace, so it must not hold up the answers of other commands.
+    std::vector<TaskCommand> prompt;
+    for (auto &command : commands) {
+        if (command.kind_ == TaskCommandKind::Stop) {
+            sendBatch(worker, {command});
+        } else if (command.kind_ == TaskCommandKind::Start && !hooks_.mayStart_()) {
+            // Reported from the loop, since the scheduler must not be entered while its commands are carried out.
+            asio::post(context_, [self = shared_from_this(), command, worker] {
+                self->reportResult(command, worker, Error{ErrorKind::NotRun, "the rules are not confirmed current", std::nullopt}, {});
+            });
+        } else {
+            prompt.push_back(std::move(command));
+        }
+    }
+    if (!prompt.empty()) {
+        sendBatch(worker, prompt);
+    }
+}
+
+auto ZoneRuntime::sendBatch(const WorkerId &worker, const std::vector<TaskCommand> &commands) -> void
+{
+    const auto now = std::chrono::steady_clock::now();
+    WorkerCommandBatch batch{epoch_, {}};
+    for (const auto &command : commands) {
+        batch.commands_.push_back(toWorkerCommand(command, now));
+    }
+    const auto traceparent = hooks_.traceparentOf_(commands.front().task_.job_);
+    client_.send(addressOf(worker), batch, traceparent, [weak = weak_from_this(), worker, commands](Result<std::vector<WorkerCommandResult>> results) {
+        if (const auto self = weak.lock()) {
+            self->handleResults(worker, commands, std::move(results));
+        }
+    });
+}
+
+auto ZoneRuntime::sendRenewals(const RenewLeases &renewals) -> void
+{
+    WorkerCommandBatch batch{epoch_, {}};
+    std::vector<TaskCommand> commands;
+    for (const auto &task : renewals.tasks_) {
+        WorkerCommand renew;
+        renew.kind_ = WorkerCommandKind::Renew;
+        renew.task_ = task;
+        renew.lease_ = renewals.lease_;
+        batch.commands_.push_back(renew);
+        TaskCommand command;
+        command.kind_ = TaskCommandKind::Renew;
+        command.task_ = task;
+        command.worker_ = renewals.worker_;
+        commands.push_back(std::move(command));
+    }
+    client_.send(addressOf(renewals.worker_), batch, "", [weak = weak_from_this(), worker = renewals.worker_, commands](auto results) {
+        if (const auto self = weak.lock()) {
+            self->handleResults(worker, commands, std::move(results));
+        }
+    });
+}
+
+auto ZoneRuntime::sendProbe(const ProbeWorker &probe) -> void
+{
+    WorkerCommand command;
+    command.kind_ = WorkerCommandKind::Probe;
+    client_.send(addressOf(probe.worker_), {epoch_, {command}}, "", [weak = weak_from_this(), worker = probe.worker_](const auto &results) {
+        if (const auto self = weak.lock()) {
+            const auto healthy = isOk(results) && !valueOf(results).front().error_;
+            self->decide(ProbeResult{worker, healthy});
+        }
+    });
+}
+
+auto ZoneRuntime::toWorkerCommand(const TaskCommand &command, SteadyTime now) -> WorkerCommand
+{
+    WorkerCommand sent;
+    sent.kind_ = toWorkerKind(command.kind_);
+    sent.task_ = command.task_;
+    sent.resources_ = command.resources_;
+    sent.lease_ = command.lease_;
+    sent.progress_ = command.progress_;
+    sent.grace_ = command.grace_;
+    if (command.kind_ == TaskCommandKind::Hold) {
+        holdSentAt_[command.task_] = now;
+    }
+    if (command.kind_ == TaskCommandKind::Start) {
+        const auto heldAt = holdSentAt_.find(command.task_);
+        if (heldAt != holdSentAt_.end()) {
+            sent.sinceHold_ = std::chrono::duration_cast<std::chrono::milliseconds>(now - heldAt->second);
+            holdSentAt_.erase(heldAt);
+        }
+        const auto payload = payloads_.find(command.task_.job_);
+        sent.payload_ = payload == payloads_.end() ? std::string() : payload->second;
+    }
+    return sent;
+}
+
+auto ZoneRuntime::handleResults(const WorkerId &worker, const std::vector<TaskCommand> &commands, Result<std::vector<WorkerCommandResult>> results) -> void
+{
+    if (closed_) {
+        return;
+    }
+    if (!isOk(results)) {
+        if (errorOf(results).kind_ == ErrorKind::StaleEpoch) {
+            hooks_.staleEpoch_();
+            return;
+        }
+        for (const auto &command : commands) {
+            reportResult(command, worker, errorOf(results), {});
+        }
+        return;
+    }
+    const auto &list = valueOf(results);
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        // The scheduler only waits for renewals that failed.
+        if (commands[i].kind_ != TaskCommandKind::Renew || list[i].error_) {
+            reportResult(commands[i], worker, list[i].error_, list[i].progress_);
+        }
+    }
+}
+
+auto ZoneRuntime::reportResult(const TaskCommand &command, const WorkerId &worker, std::optional<Error> error, std::chrono::milliseconds progress) -> void
+{
+    decide(TaskCommandResult{command.kind_, command.task_, worker, std::move(error), progress});
+}
+
+auto ZoneRuntime::addressOf(const WorkerId &worker) const -> std::string
+{
+    const auto found = links_.find(worker);
+    return found == links_.end() ? std::string() : found->second->worker().address_;
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/entry/zoneruntime.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "marjoramfold/entry/workerlink.h"
+#include "marjoramfold/entry/zonetakeover.h"
+#include "marjoramfold/scheduling/scheduler.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// What a zone runtime needs from its instance.
+struct ZoneRuntimeHooks {
+    /// Appends what a scheduler command records; task commands never get here.
+    std::function<void(const SchedulerCommand &command)> record_;
+    /// A worker obeys a newer scheduler: this one must stop.
+    std::function<void()> staleEpoch_;
+    /// Whether tasks may start now, asked for each start command when it is sent.
+    std::function<bool()> mayStart_;
+    /// Traceparent header for commands about a job.
+    std::function<std::string(const JobId &job)> traceparentOf_;
+};
+
+/// Runs the scheduler of one availability zone under one epoch: carries its commands out at the workers and feeds it their answers.
+class ZoneRuntime : public std::enable_shared_from_this<ZoneRuntime>
+{
+public:
+    ZoneRuntime(asio::io_context &context, WorkerClient &client, AvailabilityZoneId zone, Epoch epoch, RuleSetPointer rules, ZoneRuntimeHooks hooks);
+
+    /// Fences the workers, takes their inventories, and then schedules.
+    auto start(const std::vector<WorkerInfo> &workers, std::vector<KnownJob> jobs) -> void;
+
+    /// Stops to send commands. Tasks go on under their leases.
+    auto close() -> void;
+
+    /// Adopts a newer list of workers.
+    auto setWorkers(const std::vector<WorkerInfo> &workers, const std::set<WorkerId> &leaving) -> void;
+
+    auto setRules(RuleSetPointer rules) -> void;
+    auto addJob(KnownJob job) -> void;
+    auto cancelJobs(std::vector<JobId> jobs) -> void;
+
+    /// Looks at timeouts and waiting jobs.
+    auto tick() -> void;
+
+    /// True when the workers are fenced and the scheduler decides.
+    [[nodiscard]] auto isScheduling() const -> bool;
+    [[nodiscard]] auto zone() const -> const AvailabilityZoneId &;
+    [[nodiscard]] auto epoch() const -> Epoch;
+    [[nodiscard]] auto explain(const JobId &job) const -> std::optional<JobExplanation>;
+    [[nodiscard]] auto summarize() const -> ZoneSummary;
+
+private:
+    struct UncertainJobs {
+        SteadyTime until_;
+        std::vector<KnownJob> jobs_;
+    };
+
+    auto openLink(const WorkerInfo &worker) -> void;
+    auto handleInventory(const WorkerInfo &worker, const WorkerInventory &inventory) -> void;
+    auto reportChanges(const WorkerInfo &worker, const WorkerInventory &inventory) -> void;
+    auto handleLost(const WorkerId &worker) -> void;
+    auto finishFencing() -> void;
+    auto stopStrays(const std::vector<StrayTask> &strays) -> void;
+    auto placeUncertainJobs(SteadyTime now) -> void;
+    auto arrive(const KnownJob &job) -> void;
+
+    auto decide(const SchedulerEvent &event) -> void;
+    auto carryOut(const std::vector<SchedulerCommand> &commands) -> void;
+    auto sendTaskCommands(const WorkerId &worker, std::vector<TaskCommand> commands) -> void;
+    auto sendBatch(const WorkerId &worker, const std::vector<TaskCommand> &commands) -> void;
+    auto sendRenewals(const RenewLeases &renewals) -> void;
+    auto sendProbe(const ProbeWorker &probe) -> void;
+    auto toWorkerCommand(const TaskCommand &command, SteadyTime now) -> WorkerCommand;
+    auto handleResults(const WorkerId &worker, const std::vector<TaskCommand> &commands, Result<std::vector<WorkerCommandResult>> results) -> void;
+    auto reportResult(const TaskCommand &command, const WorkerId &worker, std::optional<Error> error, std::chrono::milliseconds progress) -> void;
+    [[nodiscard]] auto addressOf(const WorkerId &worker) const -> std::string;
+
+    asio::io_context &context_;
+    WorkerClient &client_;
+    AvailabilityZoneId zone_;
+    Epoch epoch_;
+    RuleSetPointer rules_;
+    ZoneRuntimeHooks hooks_;
+    Scheduler scheduler_;
+    bool scheduling_ = false;
+    bool closed_ = false;
+    bool gateOpen_ = false;
+    SteadyTime fenceDeadline_{};
+    std::map<WorkerId, std::shared_ptr<WorkerLink>> links_;
+    std::map<WorkerId, WorkerInventory> inventories_;
+    std::set<WorkerId> leaving_;
+    std::vector<KnownJob> jobsAtStart_;
+    UncertainJobs uncertain_;
+    std::unordered_map<JobId, std::string> payloads_;
+    std::unordered_map<TaskId, SteadyTime> holdSentAt_;
+    /// Tasks whose end was already reported, by the version of their worker's inventory.
+    std::map<WorkerId, std::set<TaskId>> reportedEnds_;
+};
+} // namespace Marjoramfold
