--- /dev/null
+++ b/marjoramfold/log/logcursor.cpp
@@ -0,0 +1,80 @@
+#include "marjoramfold/log/logcursor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Marjoramfold
+{
+LogCursor::LogCursor(const LogFollowerOptions &options)
+    : options_(options)
+    , backoff_(options.backoff_, options.seed_)
+{
+}
+
+auto LogCursor::nextRead() const -> LogReadRequest
+{
+    return {options_.stream_, position_, options_.maxRecords_, options_.wait_};
+}
+
+auto LogCursor::nextReadAt() const -> SteadyTime
+{
+    return nextReadAt_;
+}
+
+auto LogCursor::takePage(LogPage page, SteadyTime startedAt, SteadyTime now, bool &lost) -> std::vector<LogRecord>
+{
+    lost = position_ != 0 && page.first_ > position_;
+    if (position_ == 0 || lost) {
+        position_ = page.first_;
+    }
+    first_ = page.first_;
+    std::vector<LogRecord> fresh;
+    for (auto &record : page.records_) {
+        // A repeated or reordered record is not applied twice; the client refuses gaps.
+        if (record.offset_ == position_) {
+            ++position_;
+            fresh.push_back(std::move(record));
+        }
+    }
+    if (position_ >= page.end_) {
+        confirmedAt_ = std::max(confirmedAt_.value_or(startedAt), startedAt);
+    }
+    unreachableSince_.reset();
+    backoff_.reset();
+    nextReadAt_ = now;
+    return fresh;
+}
+
+auto LogCursor::takeError(const Error &error, SteadyTime startedAt, SteadyTime now) -> bool
+{
+    nextReadAt_ = now + backoff_.next();
+    if (error.kind_ == ErrorKind::OffsetExpired) {
+        // The log answered, so it is reachable.
+        unreachableSince_.reset();
+        position_ = 0;
+        return true;
+    }
+    unreachableSince_ = unreachableSince_.value_or(startedAt);
+    return false;
+}
+
+auto LogCursor::position() const -> Offset
+{
+    return position_;
+}
+
+auto LogCursor::first() const -> Offset
+{
+    return first_;
+}
+
+auto LogCursor::confirmedAt() const -> std::optional<SteadyTime>
+{
+    return confirmedAt_;
+}
+
+auto LogCursor::unreachableSince() const -> std::optional<SteadyTime>
+{
+    return unreachableSince_;
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/log/logfollower.cpp
@@ -0,0 +1,167 @@
+#include "marjoramfold/log/logfollower.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace Marjoramfold
+{
+/// The cursor, its timer and the read in flight.
+class LogFollower::Impl : public std::enable_shared_from_this<LogFollower::Impl>
+{
+public:
+    Impl(asio::io_context &context, LogClient &log, Clock clock, const LogFollowerOptions &options, LogFollowerHooks hooks)
+        : log_(log)
+        , clock_(std::move(clock))
+        , options_(options)
+        , hooks_(std::move(hooks))
+        , cursor_(options)
+        , timer_(context)
+    {
+    }
+
+    auto readLater() -> void
+    {
+        const auto now = clock_.steadyNow_();
+        timer_.expires_after(std::max(cursor_.nextReadAt() - now, SteadyTime::duration::zero()));
+        timer_.async_wait([weak = weak_from_this()](const std::error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error) {
+                self->read();
+            }
+        });
+    }
+
+    auto stop() -> void
+    {
+        stopped_ = true;
+        timer_.cancel();
+    }
+
+    [[nodiscard]] auto cursor() const -> const LogCursor &
+    {
+        return cursor_;
+    }
+
+    [[nodiscard]] auto malformedRecords() const -> std::uint64_t
+    {
+        return malformedRecords_;
+    }
+
+private:
+    auto read() -> void
+    {
+        const auto startedAt = clock_.steadyNow_();
+        log_.read(cursor_.nextRead(), [weak = weak_from_this(), startedAt](Result<LogPage> result) {
+            const auto self = weak.lock();
+            if (self && !self->stopped_) {
+                self->take(std::move(result), startedAt);
+            }
+        });
+    }
+
+    auto take(Result<LogPage> result, SteadyTime startedAt) -> void
+    {
+        const auto now = clock_.steadyNow_();
+        if (isOk(result)) {
+            takePage(std::get<LogPage>(std::move(result)), startedAt, now);
+        } else {
+            takeError(errorOf(result), startedAt, now);
+        }
+        // A hook may have destroyed the follower.
+        if (!stopped_ && hooks_.onProgress_) {
+            hooks_.onProgress_();
+        }
+        if (!stopped_) {
+            readLater();
+        }
+    }
+
+    auto takePage(LogPage page, SteadyTime startedAt, SteadyTime now) -> void
+    {
+        auto lost = false;
+        const auto first = page.first_;
+        const auto records = decode(cursor_.takePage(std::move(page), startedAt, now, lost));
+        if (mustBegin_ || lost) {
+            mustBegin_ = false;
+            hooks_.onBegin_(first);
+        }
+        if (!stopped_ && !records.empty()) {
+            hooks_.onRecords_(records);
+        }
+    }
+
+    auto takeError(const Error &error, SteadyTime startedAt, SteadyTime now) -> void
+    {
+        const auto wasReachable = !cursor_.unreachableSince();
+        if (cursor_.takeError(error, startedAt, now)) {
+            LOG(WARNING) << "log_offset_expired stream=" << toString(options_.stream_);
+            mustBegin_ = true;
+        } else if (wasReachable) {
+            LOG(WARNING) << "log_unreachable stream=" << toString(options_.stream_) << " error=\"" << toString(error) << '"';
+        }
+    }
+
+    auto decode(std::vector<LogRecord> records) -> std::vector<FollowedRecord>
+    {
+        std::vector<FollowedRecord> decoded;
+        decoded.reserve(records.size());
+        for (auto &record : records) {
+            auto typed = decodeRecord(record.body_);
+            if (isOk(typed)) {
+                decoded.push_back({record.offset_, record.time_, std::get<Record>(std::move(typed))});
+            } else {
+                ++malformedRecords_;
+                LOG(WARNING) << "log_record_malformed stream=" << toString(options_.stream_) << " offset=" << record.offset_ << " error=\""
+                             << toString(errorOf(typed)) << '"';
+            }
+        }
+        return decoded;
+    }
+
+    LogClient &log_;
+    Clock clock_;
+    LogFollowerOptions options_;
+    LogFollowerHooks hooks_;
+    LogCursor cursor_;
+    asio::steady_timer timer_;
+    bool mustBegin_ = true;
+    bool stopped_ = false;
+    std::uint64_t malformedRecords_ = 0;
+};
+
+LogFollower::LogFollower(asio::io_context &context, LogClient &log, Clock clock, LogFollowerOptions options, LogFollowerHooks hooks)
+    : impl_(std::make_shared<Impl>(context, log, std::move(clock), options, std::move(hooks)))
+{
+}
+
+LogFollower::~LogFollower()
+{
+    impl_->stop();
+}
+
+auto LogFollower::start() -> void
+{
+    impl_->readLater();
+}
+
+auto LogFollower::position() const -> Offset
+{
+    return impl_->cursor().position();
+}
+
+auto LogFollower::confirmedAt() const -> std::optional<SteadyTime>
+{
+    return impl_->cursor().confirmedAt();
+}
+
+auto LogFollower::unreachableSince() const -> std::optional<SteadyTime>
+{
+    return impl_->cursor().unreachableSince();
+}
+
+auto LogFollower::malformedRecords() const -> std::uint64_t
+{
+    return impl_->malformedRecords();
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/standins/platform/instanceregistry.cpp
@@ -0,0 +1,82 @@
+#include "standins/platform/instanceregistry.h"
+
+#include <utility>
+
+namespace Marjoramfold::Standin
+{
+namespace
+{
+/// An instance without a heartbeat for this long has vanished.
+constexpr std::chrono::milliseconds HeartbeatTimeout{5'000};
+} // namespace
+
+auto InstanceRegistry::setLag(std::chrono::milliseconds lag) -> void
+{
+    lag_ = lag;
+}
+
+auto InstanceRegistry::announce(const Instance &instance, SteadyTime now) -> void
+{
+    auto &entry = entries_[instance.id_];
+    entry.lastHeartbeat_ = now;
+    record(entry, instance, now);
+}
+
+auto InstanceRegistry::addStatic(const Instance &instance, SteadyTime now) -> void
+{
+    auto &entry = entries_[instance.id_];
+    entry.lastHeartbeat_.reset();
+    // A static entry has always been there, so no lag hides it.
+    record(entry, instance, now - std::chrono::hours(1));
+}
+
+auto InstanceRegistry::remove(const std::string &id, SteadyTime now) -> void
+{
+    const auto found = entries_.find(id);
+    if (found != entries_.end()) {
+        found->second.lastHeartbeat_.reset();
+        record(found->second, std::nullopt, now);
+    }
+}
+
+auto InstanceRegistry::list(SteadyTime now) -> std::vector<Instance>
+{
+    const auto asOf = now - lag_;
+    std::vector<Instance> listed;
+    for (auto &[id, entry] : entries_) {
+        if (entry.lastHeartbeat_ && now - *entry.lastHeartbeat_ > HeartbeatTimeout) {
+            const auto vanishedAt = *entry.lastHeartbeat_ + HeartbeatTimeout;
+            entry.lastHeartbeat_.reset();
+            record(entry, std::nullopt, vanishedAt);
+        }
+        // Changes before the one in effect are no longer needed, unless the lag grows.
+        const Change *inEffect = nullptr;
+        for (const auto &change : entry.changes_) {
+            inEffect = change.at_ <= asOf ? &change : inEffect;
+        }
+        if (inEffect != nullptr && inEffect->instance_) {
+            listed.push_back(*inEffect->instance_);
+        }
+    }
+    return listed;
+}
+
+auto InstanceRegistry::lag() const -> std::chrono::milliseconds
+{
+    return lag_;
+}
+
+auto InstanceRegistry::record(Entry &entry, std::optional<Instance> instance, SteadyTime at) -> void
+{
+    constexpr std::size_t MaxChanges = 32;
+    const auto *last = entry.changes_.empty() ? nullptr : &entry.changes_.back().instance_;
+    const auto isSame = last != nullptr && last->has_value() == instance.has_value() && (!instance || encodeInstance(**last) == encodeInstance(*instance));
+    if (isSame) {
+        return;
+    }
+    entry.changes_.push_back({at, std::move(instance)});
+    if (entry.changes_.size() > MaxChanges) {
+        entry.changes_.pop_front();
+    }
+}
+} // namespace Marjoramfold::Standin
