Add availability zone ownership

Each availability zone needs one owner that all readers agree on under kills, pauses, partitions and log outages. EpochTable derives owner and epoch from the records; Ownership decides when to claim, renew, stand down, release and act as deputy. An owner that still renews is not taken over again by an instance that cannot see it: without this rule two instances cut off from each other claimed in turn. The lease starts anew when the log returns, so an outage causes no takeovers.

--- a/marjoramfold/log/jsonfields.cpp
+++ b/marjoramfold/log/jsonfields.cpp
@@ -6,14 +6,14 @@
 {
 auto emptyArray() -> const nlohmann::json &
 {
-    static const nlohmann::json empty = nlohmann::json::array();
-    return empty;
+    static const nlohmann::json Empty = nlohmann::json::array();
+    return Empty;
 }
 
 auto emptyObject() -> const nlohmann::json &
 {
-    static const nlohmann::json empty = nlohmann::json::object();
-    return empty;
+    static const nlohmann::json Empty = nlohmann::json::object();
+    return Empty;
 }
 } // namespace
 
--- /dev/null
+++ b/marjoramfold/scheduling/epochtable.cpp
@@ -0,0 +1,104 @@
+#include "marjoramfold/scheduling/epochtable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Marjoramfold
+{
+auto EpochTable::startReading(Offset first) -> void
+{
+    isWhole_ = first <= 1;
+    zones_.clear();
+}
+
+auto EpochTable::apply(Offset offset, const ClaimRecord &record) -> bool
+{
+    auto &zone = zoneOf(record.zone_);
+    if (!zone.isProven_) {
+        zone.claims_.push_back({offset, record});
+    }
+    return judge(zone, offset, record);
+}
+
+auto EpochTable::apply(const RenewalRecord &record) -> bool
+{
+    auto changed = noteEpoch(record.zone_, record.epoch_);
+    auto &inForce = zoneOf(record.zone_).inForce_;
+    // A reader whose log lost the claim learns the owner here.
+    if (inForce.epoch_ == record.epoch_ && inForce.owner_.isEmpty() && !inForce.isReleased_) {
+        inForce.owner_ = record.instance_;
+        inForce.deputies_ = record.deputies_;
+        changed = true;
+    }
+    return changed;
+}
+
+auto EpochTable::apply(const ReleaseRecord &record) -> bool
+{
+    auto changed = noteEpoch(record.zone_, record.epoch_);
+    auto &inForce = zoneOf(record.zone_).inForce_;
+    if (inForce.epoch_ == record.epoch_ && !inForce.isReleased_) {
+        inForce.owner_ = InstanceId();
+        inForce.isReleased_ = true;
+        changed = true;
+    }
+    return changed;
+}
+
+auto EpochTable::noteEpoch(const AvailabilityZoneId &zone, Offset epoch) -> bool
+{
+    return epoch != 0 && prove(zoneOf(zone), epoch);
+}
+
+auto EpochTable::find(const AvailabilityZoneId &zone) const -> ZoneEpoch
+{
+    const auto found = zones_.find(zone);
+    return found == zones_.end() ? ZoneEpoch() : found->second.inForce_;
+}
+
+auto EpochTable::zoneOf(const AvailabilityZoneId &zone) -> Zone &
+{
+    const auto [found, isNew] = zones_.try_emplace(zone);
+    if (isNew) {
+        found->second.isProven_ = isWhole_;
+    }
+    return found->second;
+}
+
+/// Puts a claim in force when it supersedes the epoch in force.
+auto EpochTable::judge(Zone &zone, Offset offset, const ClaimRecord &record) -> bool
+{
+    const auto isAssumed = !zone.isProven_ && zone.inForce_.epoch_ == 0;
+    if (record.supersedes_ != zone.inForce_.epoch_ && !isAssumed) {
+        return false;
+    }
+    zone.inForce_ = {offset, record.instance_, record.deputies_, false};
+    return true;
+}
+
+/// Learns that an epoch was in force when its owner wrote a record.
+auto EpochTable::prove(Zone &zone, Offset epoch) -> bool
+{
+    if (zone.isProven_) {
+        if (epoch <= zone.inForce_.epoch_) {
+            return false;
+        }
+        zone.inForce_ = {epoch, InstanceId(), {}, false};
+        return true;
+    }
+    zone.isProven_ = true;
+    const auto claims = std::exchange(zone.claims_, {});
+    const auto before = zone.inForce_.epoch_;
+
+    // The epoch's own claim may have been read; later claims are judged again from there.
+    zone.inForce_ = {epoch, InstanceId(), {}, false};
+    for (const auto &claim : claims) {
+        if (claim.offset_ == epoch) {
+            zone.inForce_ = {epoch, claim.record_.instance_, claim.record_.deputies_, false};
+        } else if (claim.offset_ > epoch) {
+            judge(zone, claim.offset_, claim.record_);
+        }
+    }
+    return zone.inForce_.epoch_ != before;
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/epochtable.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "marjoramfold/core/ids.h"
+#include "marjoramfold/log/records.h"
+
+#include <map>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// Who owns an availability zone, as the records of the `control` stream make it.
+struct ZoneEpoch {
+    /// Offset of the claim in force; 0 before the first.
+    Offset epoch_ = 0;
+    /// The owner; empty before the first claim and after a release.
+    InstanceId owner_;
+    /// Deputies by rank from 1.
+    std::vector<InstanceId> deputies_;
+    /// The owner gave the availability zone up; the epoch stays in force until the next claim.
+    bool isReleased_ = false;
+};
+
+/// Derives the epoch in force of each availability zone. A pure state machine: all readers of the same records agree.
+///
+/// A reader whose log lost its beginning takes a zone's first claim as in force provisionally. A record of an earlier epoch
+/// that follows proves that this claim lost a race; the claims seen are then judged again from that epoch on.
+class EpochTable
+{
+public:
+    /// Starts at the first offset the log keeps; drops everything known.
+    auto startReading(Offset first) -> void;
+
+    /// Applies a record. True when it changed owner or epoch.
+    auto apply(Offset offset, const ClaimRecord &record) -> bool;
+    auto apply(const RenewalRecord &record) -> bool;
+    auto apply(const ReleaseRecord &record) -> bool;
+
+    /// Learns from a record of an owner that its epoch was in force. Owners write only under an epoch that they have read as valid.
+    auto noteEpoch(const AvailabilityZoneId &zone, Offset epoch) -> bool;
+
+    /// The epoch of an availability zone; epoch 0 when none is known.
+    [[nodiscard]] auto find(const AvailabilityZoneId &zone) const -> ZoneEpoch;
+
+private:
+    struct SeenClaim {
+        Offset offset_ = 0;
+        ClaimRecord record_;
+    };
+    struct Zone {
+        ZoneEpoch inForce_;
+        /// The epoch is known for sure, not only assumed because the log lost its beginning.
+        bool isProven_ = false;
+        /// Claims read while it is not proven.
+        std::vector<SeenClaim> claims_;
+    };
+
+    auto zoneOf(const AvailabilityZoneId &zone) -> Zone &;
+    static auto judge(Zone &zone, Offset offset, const ClaimRecord &record) -> bool;
+    static auto prove(Zone &zone, Offset epoch) -> bool;
+
+    bool isWhole_ = true;
+    std::map<AvailabilityZoneId, Zone> zones_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/ownership.cpp
@@ -0,0 +1,369 @@
+#include "marjoramfold/scheduling/ownership.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace Marjoramfold
+{
+Ownership::Ownership(AvailabilityZoneId zone, OwnershipCandidate self, std::string idPrefix, OwnershipOptions options)
+    : zone_(std::move(zone))
+    , self_(std::move(self))
+    , idPrefix_(std::move(idPrefix))
+    , options_(options)
+{
+}
+
+auto Ownership::startReading(Offset first) -> void
+{
+    table_.startReading(first);
+    heardAt_.reset();
+    // The claim may lie below the first record kept; then it counts as one of an earlier run.
+    pendingClaim_.reset();
+    pendingRenewals_.clear();
+}
+
+auto Ownership::apply(Offset offset, const Record &record, SteadyTime now) -> void
+{
+    if (const auto *claimed = std::get_if<ClaimRecord>(&record); claimed != nullptr && claimed->zone_ == zone_) {
+        applyClaim(offset, *claimed, now);
+    } else if (const auto *renewal = std::get_if<RenewalRecord>(&record); renewal != nullptr && renewal->zone_ == zone_) {
+        applyRenewal(*renewal, now);
+    } else if (const auto *released = std::get_if<ReleaseRecord>(&record); released != nullptr && released->zone_ == zone_) {
+        table_.apply(*released);
+    }
+}
+
+auto Ownership::applyClaim(Offset offset, const ClaimRecord &record, SteadyTime now) -> void
+{
+    const auto isOwn = pendingClaim_ && pendingClaim_->id_ == record.id_;
+    if (table_.apply(offset, record)) {
+        heardAt_ = now;
+        if (isOwn) {
+            ownEpoch_ = offset;
+            leaseUntil_ = pendingClaim_->sentAt_ + options_.lease_;
+            nextRenewalAt_ = pendingClaim_->sentAt_ + options_.renewInterval_;
+            pendingRenewals_.clear();
+            refusedAt_.reset();
+            deputyMissingSince_.reset();
+        }
+    }
+    if (isOwn) {
+        pendingClaim_.reset();
+    }
+}
+
+auto Ownership::applyRenewal(const RenewalRecord &record, SteadyTime now) -> void
+{
+    table_.apply(record);
+    if (record.epoch_ != table_.find(zone_).epoch_) {
+        return;
+    }
+    heardAt_ = now;
+    const auto own = std::find_if(pendingRenewals_.begin(), pendingRenewals_.end(), [&](const PendingRecord &pending) {
+        return pending.id_ == record.id_;
+    });
+    if (own != pendingRenewals_.end()) {
+        leaseUntil_ = std::max(leaseUntil_, own->sentAt_ + options_.lease_);
+        pendingRenewals_.erase(pendingRenewals_.begin(), own + 1);
+    }
+}
+
+auto Ownership::noteLog(std::optional<SteadyTime> confirmedAt, std::optional<SteadyTime> unreachableSince) -> void
+{
+    confirmedAt_ = confirmedAt;
+    unreachableSince_ = unreachableSince;
+}
+
+auto Ownership::noteInstances(std::vector<OwnershipCandidate> candidates, const std::set<InstanceId> &confirmedDead, SteadyTime now) -> void
+{
+    candidates_ = std::move(candidates);
+    std::erase_if(deadSince_, [&](const auto &entry) {
+        return !confirmedDead.contains(entry.first);
+    });
+    for (const auto &id : confirmedDead) {
+        deadSince_.try_emplace(id, now);
+    }
+}
+
+auto Ownership::noteStaleRefusal(SteadyTime now) -> void
+{
+    if (acting_ && acting_->rank_ > 0) {
+        refusedDeputyEpoch_ = acting_->claim_;
+    } else if (acting_) {
+        refusedAt_ = now;
+    }
+}
+
+auto Ownership::noteNotAppended(const RecordId &id) -> void
+{
+    if (pendingClaim_ && pendingClaim_->id_ == id) {
+        pendingClaim_.reset();
+    }
+}
+
+auto Ownership::release() -> void
+{
+    isDraining_ = true;
+}
+
+auto Ownership::step(SteadyTime now) -> std::vector<OwnershipCommand>
+{
+    Commands commands;
+    noteWaits(now);
+    if (isOwner()) {
+        stepOwner(now, commands);
+    } else {
+        stepCandidate(now, commands);
+    }
+    lastStep_ = now;
+    return commands;
+}
+
+auto Ownership::inForce() const -> ZoneEpoch
+{
+    return table_.find(zone_);
+}
+
+auto Ownership::acting() const -> std::optional<Epoch>
+{
+    return acting_;
+}
+
+auto Ownership::zone() const -> const AvailabilityZoneId &
+{
+    return zone_;
+}
+
+/// Accounts for time in which nothing could be renewed or read.
+auto Ownership::noteWaits(SteadyTime now) -> void
+{
+    const auto gap = lastStep_ ? now - *lastStep_ : SteadyTime::duration::zero();
+    if (gap > options_.pauseGap_) {
+        pauseEnd_ = now;
+    }
+    if (!unreachableSince_) {
+        return;
+    }
+    // Nobody can claim or renew during an outage: the lease starts anew when the log returns, for the owner and its readers.
+    if (heardAt_) {
+        heardAt_ = now;
+    }
+    if (gap < options_.lease_ && lastStep_ && *lastStep_ <= leaseUntil_) {
+        leaseUntil_ = std::max(leaseUntil_, now + options_.lease_);
+    }
+}
+
+auto Ownership::stepOwner(SteadyTime now, Commands &commands) -> void
+{
+    vacantSince_.reset();
+    if (isDraining_) {
+        act(std::nullopt, commands);
+        if (!isReleaseSent_) {
+            isReleaseSent_ = true;
+            commands.emplace_back(AppendOwnershipRecord{ReleaseRecord{newId("release"), zone_, self_.id_, ownEpoch_}});
+        }
+        return;
+    }
+    if (refusedAt_) {
+        act(std::nullopt, commands);
+        // Still the owner by the log, yet a worker has seen a higher epoch, such as a deputy's: only a new claim orders above it.
+        if (isFresh(now) && *confirmedAt_ > *refusedAt_) {
+            claim(now, commands);
+        }
+        return;
+    }
+    act(isOwnerSafe(now) ? std::optional(Epoch{ownEpoch_, 0}) : std::nullopt, commands);
+    renew(now, commands);
+    refreshDeputies(now, commands);
+}
+
+auto Ownership::stepCandidate(SteadyTime now, Commands &commands) -> void
+{
+    if (isDraining_) {
+        act(std::nullopt, commands);
+        return;
+    }
+    const auto isActing = acting_ && acting_->rank_ > 0 && acting_->claim_ == inForce().epoch_ && refusedDeputyEpoch_ != inForce().epoch_;
+    if (mayActAsDeputy(now)) {
+        act(Epoch{inForce().epoch_, *deputyRank()}, commands);
+    } else if (!isActing) {
+        act(std::nullopt, commands);
+    }
+    // A deputy that acts goes on until another claim is in force, so that the availability zone is not left alone.
+    if (!isFresh(now) || (!isActing && !isVacant(now))) {
+        vacantSince_.reset();
+        return;
+    }
+    vacantSince_ = vacantSince_.value_or(now);
+    if (isActing || now - *vacantSince_ >= claimDelay()) {
+        claim(now, commands);
+    }
+}
+
+auto Ownership::renew(SteadyTime now, Commands &commands) -> void
+{
+    // Renewals are not queued during an outage; the first is due as soon as the log returns.
+    if (now < nextRenewalAt_ || unreachableSince_) {
+        return;
+    }
+    constexpr std::size_t MaxPendingRenewals = 8;
+    if (pendingRenewals_.size() == MaxPendingRenewals) {
+        pendingRenewals_.erase(pendingRenewals_.begin());
+    }
+    pendingRenewals_.push_back({newId("renewal"), now});
+    commands.emplace_back(AppendOwnershipRecord{RenewalRecord{pendingRenewals_.back().id_, zone_, self_.id_, ownEpoch_, inForce().deputies_}});
+    nextRenewalAt_ = now + options_.renewInterval_;
+}
+
+/// Claims again, with other deputies, when one is missing for long and there is a better choice.
+auto Ownership::refreshDeputies(SteadyTime now, Commands &commands) -> void
+{
+    const auto deputies = inForce().deputies_;
+    const auto isPresent = [&](const InstanceId &id) {
+        return !isDead(id) && std::any_of(candidates_.begin(), candidates_.end(), [&](const OwnershipCandidate &candidate) {
+            return candidate.id_ == id;
+        });
+    };
+    const auto present = static_cast<std::size_t>(std::count_if(deputies.begin(), deputies.end(), isPresent));
+    if (present >= chooseDeputies().size()) {
+        deputyMissingSince_.reset();
+        return;
+    }
+    deputyMissingSince_ = deputyMissingSince_.value_or(now);
+    if (now - *deputyMissingSince_ >= options_.deputyMissing_ && isFresh(now)) {
+        claim(now, commands);
+    }
+}
+
+auto Ownership::claim(SteadyTime now, Commands &commands) -> void
+{
+    if (pendingClaim_) {
+        return;
+    }
+    pendingClaim_ = PendingRecord{newId("claim"), now};
+    commands.emplace_back(AppendOwnershipRecord{ClaimRecord{pendingClaim_->id_, zone_, self_.id_, inForce().epoch_, chooseDeputies()}});
+}
+
+auto Ownership::act(std::optional<Epoch> wanted, Commands &commands) -> void
+{
+    if (wanted == acting_) {
+        return;
+    }
+    if (wanted) {
+        commands.emplace_back(StartActing{*wanted});
+    } else {
+        commands.emplace_back(StopActing{});
+    }
+    acting_ = wanted;
+}
+
+auto Ownership::isOwner() const -> bool
+{
+    const auto current = inForce();
+    return ownEpoch_ != 0 && current.epoch_ == ownEpoch_ && !current.isReleased_;
+}
+
+auto Ownership::isFresh(SteadyTime now) const -> bool
+{
+    return !unreachableSince_ && confirmedAt_ && now - *confirmedAt_ <= options_.readFreshness_;
+}
+
+/// True while the lease runs, or the log was read to its end since the lease lapsed and the process last paused.
+auto Ownership::isOwnerSafe(SteadyTime now) const -> bool
+{
+    if (now <= leaseUntil_) {
+        return true;
+    }
+    return isFresh(now) && (!pauseEnd_ || *confirmedAt_ >= *pauseEnd_);
+}
+
+auto Ownership::isDead(const InstanceId &id) const -> bool
+{
+    return deadSince_.contains(id);
+}
+
+/// True when the availability zone has no owner that can be expected to go on.
+auto Ownership::isVacant(SteadyTime now) const -> bool
+{
+    const auto current = inForce();
+    if (current.epoch_ == 0 || current.isReleased_ || current.owner_ == self_.id_) {
+        return true;
+    }
+    // An owner that still writes to the log is alive but cut off from this instance. Two instances that cannot see each
+    // other would otherwise take the availability zone from each other again and again.
+    const auto dead = deadSince_.find(current.owner_);
+    if (dead != deadSince_.end() && (!heardAt_ || *heardAt_ < dead->second)) {
+        return true;
+    }
+    return heardAt_ && now - *heardAt_ > options_.lease_;
+}
+
+auto Ownership::deputyRank() const -> std::optional<std::uint32_t>
+{
+    const auto deputies = inForce().deputies_;
+    const auto found = std::find(deputies.begin(), deputies.end(), self_.id_);
+    if (found == deputies.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(found - deputies.begin()) + 1;
+}
+
+/// True when the log is down, and the owner and every deputy before this one are confirmed dead.
+auto Ownership::mayActAsDeputy(SteadyTime now) const -> bool
+{
+    const auto current = inForce();
+    const auto rank = deputyRank();
+    if (!rank || current.isReleased_ || current.epoch_ == refusedDeputyEpoch_ || !unreachableSince_ || now - *unreachableSince_ < options_.outageGrace_) {
+        return false;
+    }
+    return isDead(current.owner_) && std::all_of(current.deputies_.begin(), current.deputies_.begin() + (*rank - 1), [&](const InstanceId &id) {
+               return isDead(id);
+           });
+}
+
+/// The candidates in claiming order: of this availability zone first, then by id; without those confirmed dead.
+auto Ownership::ranked() const -> std::vector<OwnershipCandidate>
+{
+    std::vector<OwnershipCandidate> order;
+    std::copy_if(candidates_.begin(), candidates_.end(), std::back_inserter(order), [&](const OwnershipCandidate &candidate) {
+        return !isDead(candidate.id_);
+    });
+    std::sort(order.begin(), order.end(), [&](const OwnershipCandidate &left, const OwnershipCandidate &right) {
+        const auto leftElsewhere = left.zone_ != zone_;
+        const auto rightElsewhere = right.zone_ != zone_;
+        return std::tie(leftElsewhere, left.id_) < std::tie(rightElsewhere, right.id_);
+    });
+    return order;
+}
+
+auto Ownership::claimDelay() const -> std::chrono::milliseconds
+{
+    std::chrono::milliseconds delay{0};
+    const auto silentOwner = inForce().owner_;
+    for (const auto &candidate : ranked()) {
+        if (candidate.id_ == self_.id_) {
+            break;
+        }
+        // The owner whose lease lapsed does not claim, so nobody waits for it.
+        delay += candidate.id_ == silentOwner ? std::chrono::milliseconds(0) : options_.rankDelay_;
+    }
+    return delay;
+}
+
+auto Ownership::chooseDeputies() const -> std::vector<InstanceId>
+{
+    std::vector<InstanceId> deputies;
+    for (const auto &candidate : ranked()) {
+        if (candidate.id_ != self_.id_ && deputies.size() < options_.maxDeputies_) {
+            deputies.push_back(candidate.id_);
+        }
+    }
+    return deputies;
+}
+
+auto Ownership::newId(std::string_view kind) -> RecordId
+{
+    return RecordId(idPrefix_ + ":" + zone_.value() + ":" + std::string(kind) + ":" + std::to_string(++idCounter_));
+}
+} // namespace Marjoramfold
