Use one exception mode of toml++ in all sources

Cause: ruleline.cpp used toml++ without exceptions, settingsreader.h with them. Linked into one program this crashed: marjoramctl rules check died of SIGSEGV inside toml++'s parser. The entry daemon links both too.

--- a/marjoramfold/rules/ruleline.cpp
+++ b/marjoramfold/rules/ruleline.cpp
@@ -1,6 +1,5 @@
 #include "marjoramfold/rules/ruleline.h"
 
-#define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
 
 #include <algorithm>
@@ -129,6 +128,17 @@
     }
     return readFields(*table, number, syntax, errors);
 }
+
+/// Parses one line as TOML; a syntax error is added to the errors.
+auto parseToml(std::string_view line, int number, std::vector<RuleProblem> &errors) -> std::optional<toml::table>
+{
+    try {
+        return toml::parse(line);
+    } catch (const toml::parse_error &error) {
+        errors.push_back({number, std::max(1, static_cast<int>(error.source().begin.column)), std::string(error.description())});
+        return std::nullopt;
+    }
+}
 } // namespace
 
 auto findInvalidUtf8(std::string_view line) -> std::optional<int>
@@ -153,10 +163,8 @@
     const auto hasRule = !trim(line.substr(0, commentAt)).empty();
 
     // The TOML parser also checks whole-line comments, for control characters.
-    const toml::parse_result parsed = toml::parse(line);
+    const auto parsed = parseToml(line, number, errors);
     if (!parsed) {
-        const auto &error = parsed.error();
-        errors.push_back({number, std::max(1, static_cast<int>(error.source().begin.column)), std::string(error.description())});
         return std::nullopt;
     }
     if (!hasRule) {
@@ -165,7 +173,7 @@
 
     RuleSyntax syntax;
     const auto errorsBefore = errors.size();
-    static_cast<void>(readRule(parsed.table(), number, syntax, errors));
+    static_cast<void>(readRule(*parsed, number, syntax, errors));
     const auto askedBy = commentAt == std::string_view::npos ? std::string_view() : askedByOf(line.substr(commentAt));
     if (askedBy.empty()) {
         const auto column = columnAt(line, std::min(commentAt, line.size()));
