--- /dev/null
+++ b/tests/contract/test_marjoramctl.cpp
@@ -0,0 +1,441 @@
+#include "marjoramfold/core/jobjson.h"
+#include "marjoramfold/http/httpserver.h"
+#include "marjoramfold/observability/tracer.h"
+#include "tools/marjoramctl/commandline.h"
+#include "tools/marjoramctl/jobfile.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <future>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+using namespace Marjoramfold;
+using Marjoramfold::Ctl::ExitCode;
+using nlohmann::json;
+
+namespace
+{
+/// An entry's HTTP interface that answers by a function and records what it was asked.
+class FakeEntry
+{
+public:
+    using Answer = std::function<HttpServerResponse(const HttpServerRequest &)>;
+
+    explicit FakeEntry(Answer answer)
+        : answer_(std::move(answer))
+        , server_(context_,
+                  {},
+                  [this](const HttpServerRequest &request, const HttpResponder &respond) {
+                      const std::lock_guard lock(mutex_);
+                      requests_.push_back(request);
+                      respond(answer_(request));
+                  })
+        , port_(server_.start())
+        , thread_([this] {
+            const auto guard = asio::make_work_guard(context_);
+            context_.run();
+        })
+    {
+    }
+
+    ~FakeEntry()
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    FakeEntry(const FakeEntry &) = delete;
+    auto operator=(const FakeEntry &) -> FakeEntry & = delete;
+
+    [[nodiscard]] auto address() const -> std::string
+    {
+        return "127.0.0.1:" + std::to_string(port_);
+    }
+
+    auto requests() -> std::vector<HttpServerRequest>
+    {
+        const std::lock_guard lock(mutex_);
+        return requests_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::vector<HttpServerRequest> requests_;
+    Answer answer_;
+    asio::io_context context_;
+    HttpServer server_;
+    std::uint16_t port_;
+    std::thread thread_;
+};
+
+auto jsonAnswer(const json &body, int status = 200) -> HttpServerResponse
+{
+    return {status, {}, body.dump(), "application/json", false};
+}
+
+auto errorAnswerOf(int status, const std::string &kind, const std::string &ran) -> HttpServerResponse
+{
+    return jsonAnswer({{"error", {{"kind", kind}, {"message", "the reason"}, {"ran", ran}, {"retry_after_ms", 250}}}}, status);
+}
+
+/// An address on which nothing listens.
+auto closedAddress() -> std::string
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor unused(context, {asio::ip::make_address("127.0.0.1"), 0}, false);
+    return "127.0.0.1:" + std::to_string(unused.local_endpoint().port());
+}
+
+struct Outcome {
+    ExitCode code_;
+    std::string out_;
+    std::string err_;
+};
+
+auto run(const std::vector<std::string> &arguments) -> Outcome
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    const auto code = Ctl::runCommandLine(arguments, out, err);
+    return {code, out.str(), err.str()};
+}
+
+/// A file that lives as long as the object.
+class TemporaryFile
+{
+public:
+    explicit TemporaryFile(const std::string &content)
+        : path_(std::filesystem::temp_directory_path() / ("marjoramctl-test-" + std::to_string(std::hash<std::string>()(content)) + ".toml"))
+    {
+        std::ofstream(path_) << content;
+    }
+
+    ~TemporaryFile()
+    {
+        std::filesystem::remove(path_);
+    }
+
+    TemporaryFile(const TemporaryFile &) = delete;
+    auto operator=(const TemporaryFile &) -> TemporaryFile & = delete;
+
+    [[nodiscard]] auto path() const -> std::string
+    {
+        return path_.string();
+    }
+
+private:
+    std::filesystem::path path_;
+};
+
+const std::string GoodJob = R"(name = "agenda"
+team = "planners"
+gang_size = 4
+adjacency = "rack"
+priority = "urgent"
+declared_run_time_s = 5400.5
+availability_zones = ["cluj-a"]
+[task]
+accelerators = 8
+cores = 12
+memory_mb = 64000
+)";
+
+const std::string GoodRules = "availability_zone.cluj-a = { state = \"in\", workers = 13, workers_per_rack = 6, accelerators_per_worker = 8 }"
+                              "  # asked by I. Pop: fleet\n";
+} // namespace
+
+SCENARIO("marjoramctl refuses wrong use with exit code 2", "[ctl]")
+{
+    const auto arguments = GENERATE(std::vector<std::string>{},
+                                    std::vector<std::string>{"jobs"},
+                                    std::vector<std::string>{"job", "show"},
+                                    std::vector<std::string>{"job", "show", "a", "b"},
+                                    std::vector<std::string>{"job", "show", "a/b"},
+                                    std::vector<std::string>{"status", "--unknown"},
+                                    std::vector<std::string>{"status", "--timeout_ms=soon"},
+                                    std::vector<std::string>{"status", "--entry"},
+                                    std::vector<std::string>{"status", "--id=x"},
+                                    std::vector<std::string>{"job", "submit", "/nonexistent/file"},
+                                    std::vector<std::string>{"rules", "check", "/nonexistent/file"});
+    const auto outcome = run(arguments);
+    CAPTURE(arguments);
+    REQUIRE(outcome.code_ == ExitCode::WrongUse);
+    REQUIRE_FALSE(outcome.err_.empty());
+}
+
+SCENARIO("every subcommand has help", "[ctl]")
+{
+    const auto general = run({"--help"});
+    REQUIRE(general.code_ == ExitCode::Done);
+    for (const auto *name : {"rules check",
+                             "rules publish",
+                             "rules show",
+                             "rules history",
+                             "job submit",
+                             "job list",
+                             "job show",
+                             "job wait",
+                             "job cancel",
+                             "explain job",
+                             "explain team",
+                             "explain zone",
+                             "status",
+                             "trace"}) {
+        CAPTURE(name);
+        REQUIRE_THAT(general.out_, Catch::Contains(name));
+        std::vector<std::string> words;
+        std::istringstream stream(name);
+        for (std::string word; stream >> word;) {
+            words.push_back(word);
+        }
+        words.emplace_back("--help");
+        const auto help = run(words);
+        REQUIRE(help.code_ == ExitCode::Done);
+        REQUIRE_THAT(help.out_, Catch::StartsWith("usage: marjoramctl [FLAGS] " + std::string(name)));
+    }
+}
+
+SCENARIO("commands go to the next entry only when that is safe", "[ctl]")
+{
+    FakeEntry good([](const HttpServerRequest &request) {
+        return jsonAnswer({{"state", "finished"}, {"path", request.target_}});
+    });
+    WHEN("the first entry is not there")
+    {
+        THEN("the second answers, whether it is given as a repeated flag or in a list")
+        {
+            REQUIRE(run({"status", "--entry", closedAddress(), "--entry", good.address()}).code_ == ExitCode::Done);
+            REQUIRE(run({"job", "cancel", "j1", "--entry=" + closedAddress() + "," + good.address()}).code_ == ExitCode::Done);
+            REQUIRE(good.requests().size() == 2);
+        }
+    }
+    WHEN("the first entry drains and says that nothing ran")
+    {
+        FakeEntry draining([](const HttpServerRequest & /*request*/) {
+            return errorAnswerOf(503, "draining", "no");
+        });
+        THEN("the second is asked")
+        {
+            REQUIRE(run({"job", "cancel", "j1", "--entry", draining.address(), "--entry", good.address()}).code_ == ExitCode::Done);
+        }
+    }
+    WHEN("a cancellation may have run at the first entry")
+    {
+        FakeEntry unsure([](const HttpServerRequest & /*request*/) {
+            return errorAnswerOf(504, "timeout", "maybe");
+        });
+        const auto outcome = run({"job", "cancel", "j1", "--entry", unsure.address(), "--entry", good.address()});
+        THEN("it is not sent again, and the user is told")
+        {
+            REQUIRE(outcome.code_ == ExitCode::Refused);
+            REQUIRE(good.requests().empty());
+            REQUIRE_THAT(outcome.err_, Catch::Contains("timeout") && Catch::Contains("may have run"));
+        }
+    }
+    WHEN("a submission may have run at the first entry")
+    {
+        FakeEntry unsure([](const HttpServerRequest & /*request*/) {
+            return errorAnswerOf(504, "timeout", "maybe");
+        });
+        const TemporaryFile file(GoodJob);
+        const auto outcome = run({"job", "submit", file.path(), "--entry", unsure.address(), "--entry", good.address()});
+        THEN("it is sent again with the same id")
+        {
+            REQUIRE(outcome.code_ == ExitCode::Done);
+            const auto first = json::parse(unsure.requests().at(0).body_)["job"]["id"];
+            REQUIRE(json::parse(good.requests().at(0).body_)["job"]["id"] == first);
+            REQUIRE(outcome.out_ == first.get<std::string>() + "\n");
+        }
+    }
+    WHEN("a submission may have run and no other entry is there")
+    {
+        FakeEntry unsure([](const HttpServerRequest & /*request*/) {
+            return errorAnswerOf(504, "timeout", "maybe");
+        });
+        const TemporaryFile file(GoodJob);
+        const auto outcome = run({"job", "submit", file.path(), "--entry", unsure.address(), "--entry", closedAddress()});
+        THEN("the last refusal does not hide that it may have run")
+        {
+            REQUIRE(outcome.code_ == ExitCode::Refused);
+            REQUIRE_THAT(outcome.err_, Catch::Contains("may have run") && Catch::Contains("--id=job-"));
+        }
+    }
+    WHEN("the system refuses for good")
+    {
+        FakeEntry refusing([](const HttpServerRequest & /*request*/) {
+            return errorAnswerOf(403, "quota_exceeded", "no");
+        });
+        const TemporaryFile file(GoodJob);
+        THEN("the refusal is final, in text and in JSON")
+        {
+            const auto outcome = run({"job", "submit", file.path(), "--entry", refusing.address(), "--entry", good.address()});
+            REQUIRE(outcome.code_ == ExitCode::Refused);
+            REQUIRE_THAT(outcome.err_, Catch::Contains("quota_exceeded: the reason (not run)"));
+            REQUIRE(good.requests().empty());
+            const auto asJson = run({"job", "submit", file.path(), "--json", "--entry", refusing.address()});
+            REQUIRE(json::parse(asJson.out_)["error"]["kind"] == "quota_exceeded");
+            REQUIRE(json::parse(asJson.out_)["error"]["retry_after_ms"] == 250);
+        }
+    }
+}
+
+SCENARIO("job files are read with place and reason of what is wrong", "[ctl]")
+{
+    const auto good = Ctl::parseJobFile(GoodJob, JobId("j1"));
+    REQUIRE(std::holds_alternative<JobSpec>(good));
+    const auto &spec = std::get<JobSpec>(good);
+    REQUIRE(spec.team_ == TeamId("planners"));
+    REQUIRE(spec.declaredRunTime_ == std::chrono::milliseconds(5'400'500));
+    REQUIRE(spec.task_ == Resources{8, 12, 64'000});
+    REQUIRE(spec.adjacency_ == Adjacency::Rack);
+    REQUIRE(spec.priority_ == PriorityClass::Urgent);
+
+    struct Case {
+        std::string text_;
+        std::string expected_;
+    };
+    const auto fault = GENERATE(Case{"team = \"a\"\ngang_size = 4\n", "f: key 'task' is missing"},
+                                Case{"team = \"a\"\ngang_size = 400\n[task]\n", "f:2:13: key 'gang_size' must be from 1 to 128, not 400"},
+                                Case{"team = \"a\"\ngang = 4\n[task]\n", "f:2:8: key 'gang' is not known"},
+                                Case{"team = \"a\"\n[task]\ncores = 1.5\n", "f:3:9: key 'task.cores' must be a whole number"},
+                                Case{"team = \"a\"\ngrace_s = -1\n[task]\n", "f:2:11: key 'grace_s' must be a number of seconds, at most a year"},
+                                Case{"team = \"a\"\npriority = \"high\"\n[task]\n", "f:2:12: key 'priority' must be one of batch, normal, urgent"},
+                                Case{"gang_size = 1\n[task]\n", "f: key 'team' is missing"});
+    const auto parsed = Ctl::parseJobFile(fault.text_, JobId("j1"));
+    REQUIRE(std::holds_alternative<Ctl::JobFileError>(parsed));
+    REQUIRE(toString("f", std::get<Ctl::JobFileError>(parsed)) == fault.expected_);
+}
+
+SCENARIO("rules are published once and followed until they are in force", "[ctl]")
+{
+    std::atomic<int> asked = 0;
+    FakeEntry entry([&asked](const HttpServerRequest &request) {
+        if (request.method_ == "POST") {
+            return jsonAnswer({{"version", 42}});
+        }
+        if (request.target_ == "/v1/rules") {
+            return jsonAnswer({{"version", 41}, {"text", GoodRules}});
+        }
+        const auto later = ++asked > 1;
+        return jsonAnswer({{"version", 42},
+                           {"zones",
+                            {{{"availability_zone", "cluj-a"}, {"in_force", true}, {"confirmed_ms", 120}, {"unconfirmed", 0}},
+                             {{"availability_zone", "sibiu-c"}, {"in_force", later}, {"unconfirmed", later ? 0 : 2}}}}});
+    });
+    GIVEN("the text that rules show prints")
+    {
+        const auto shown = run({"rules", "show", "--entry", entry.address()});
+        REQUIRE(shown.out_ == "# base version: 41\n" + GoodRules);
+        const TemporaryFile file(shown.out_);
+        WHEN("it is published")
+        {
+            const auto outcome = run({"rules", "publish", file.path(), "--author=i.pop", "--entry", entry.address()});
+            THEN("the base version comes from the first line, and each zone is reported")
+            {
+                REQUIRE(outcome.code_ == ExitCode::Done);
+                REQUIRE_THAT(outcome.out_, Catch::Contains("accepted as version 42\nin force in cluj-a after 120 ms\nin force in sibiu-c after at most"));
+                const auto body = json::parse(entry.requests().at(1).body_);
+                REQUIRE(body["base_version"] == 41);
+                REQUIRE(body["text"] == GoodRules);
+                REQUIRE(body["author"] == "i.pop");
+                REQUIRE_THAT(body["publish_id"].get<std::string>(), Catch::StartsWith("publish-"));
+            }
+        }
+    }
+    GIVEN("an availability zone that does not confirm")
+    {
+        asked = -1'000'000;
+        const TemporaryFile file(GoodRules);
+        const auto outcome = run({"rules", "publish", file.path(), "--author=i.pop", "--base_version=41", "--wait_s=1", "--entry", entry.address()});
+        THEN("it is named, and the publish stands")
+        {
+            REQUIRE(outcome.code_ == ExitCode::Done);
+            REQUIRE_THAT(outcome.out_, Catch::Contains("not confirmed by sibiu-c (2 instances)"));
+        }
+    }
+    GIVEN("a file without a base version")
+    {
+        const TemporaryFile file(GoodRules);
+        REQUIRE(run({"rules", "publish", file.path(), "--author=i.pop", "--entry", entry.address()}).code_ == ExitCode::WrongUse);
+        REQUIRE(entry.requests().empty());
+    }
+    GIVEN("a file with an error below the mark")
+    {
+        const TemporaryFile file("# base version: 41\n" + GoodRules + "priority.planners = 3 # asked by A: b\n");
+        const auto outcome = run({"rules", "publish", file.path(), "--author=i.pop", "--entry", entry.address()});
+        THEN("nothing is sent, and the line is that of the file")
+        {
+            REQUIRE(outcome.code_ == ExitCode::WrongUse);
+            REQUIRE(entry.requests().empty());
+            REQUIRE_THAT(outcome.err_, Catch::Contains(file.path() + ":3:"));
+        }
+    }
+}
+
+SCENARIO("waiting for a job ends with its outcome", "[ctl]")
+{
+    const auto finalState = GENERATE(std::string("finished"), std::string("failed"), std::string("cancelled"));
+    std::atomic<int> asked = 0;
+    FakeEntry entry([&](const HttpServerRequest & /*request*/) {
+        return jsonAnswer({{"id", "j1"}, {"state", ++asked < 2 ? "running" : finalState}, {"reason", "three workers failed"}});
+    });
+    const auto outcome = run({"job", "wait", "j1", "--entry", entry.address()});
+    REQUIRE(outcome.code_ == (finalState == "finished" ? ExitCode::Done : ExitCode::Refused));
+    REQUIRE(outcome.out_ == "running\n" + finalState + "\nthree workers failed\n");
+}
+
+SCENARIO("a trace is drawn from the hops that several entries keep", "[ctl]")
+{
+    auto now = WallTime(std::chrono::seconds(1'800'000'000));
+    auto steady = SteadyTime(std::chrono::hours(1));
+    const Clock clock{[&] {
+                          return steady;
+                      },
+                      [&] {
+                          return now;
+                      }};
+    const auto advance = [&](std::chrono::milliseconds step) {
+        now += step;
+        steady += step;
+    };
+    Tracer first({"entry-1", "", 100}, clock);
+    Tracer second({"entry-2", "", 100}, clock);
+    auto root = first.startSpan("request", std::nullopt, SpanKind::Server);
+    advance(std::chrono::milliseconds(2));
+    auto hop = second.startServerSpan("forward", formatTraceparent(root.context()));
+    advance(std::chrono::milliseconds(6));
+    hop.setStatus(SpanStatus::Error, "target_failed");
+    hop.end();
+    advance(std::chrono::milliseconds(2));
+    root.end();
+
+    const auto serve = [](const Tracer &tracer) {
+        return [&tracer](const HttpServerRequest &request) {
+            const auto id = parseTraceId(request.target_.substr(request.target_.rfind('/') + 1));
+            auto spans = json::array();
+            for (const auto &span : tracer.spansOf(id.value())) {
+                spans.push_back(toOtlpJson(span));
+            }
+            return jsonAnswer({{"spans", spans}});
+        };
+    };
+    FakeEntry entryOne(serve(first));
+    FakeEntry entryTwo(serve(second));
+    const auto id = toHex(root.context().traceId_);
+    const auto outcome = run({"trace", id, "--entry", entryTwo.address(), "--entry", entryOne.address(), "--entry", entryOne.address()});
+    REQUIRE(outcome.code_ == ExitCode::Done);
+    REQUIRE(outcome.out_
+            == "request @entry-1    |========================================|  +0.000 ms  10.000 ms\n"
+               "  forward @entry-2  |        ========================        |  +2.000 ms  6.000 ms  error target_failed\n");
+    REQUIRE(run({"trace", "00000000000000000000000000000001", "--entry", entryOne.address()}).code_ == ExitCode::Refused);
+}
