Shrink heartbeats, digests and gossip

Cause: at 64 instances in 4 zones the delegate sent 3.13 KB/s, and gossip of 10 zones did not fit into a datagram. Change: heartbeats to monitors carry no state, digests do not name their delegate, gossip passes on only what is new and is split by size, capacities go every 2 s.

--- a/marjoramfold/membership/digestexchange.cpp
+++ b/marjoramfold/membership/digestexchange.cpp
@@ -15,6 +15,27 @@
 /// Time that differing members get to become equal by the broadcast of the change, before a table is asked for.
 constexpr std::chrono::milliseconds RepairAfter{2'000};
 
+/// Capacities go with every second digest; nothing urgent depends on them.
+constexpr std::uint32_t CapacityRounds = 2;
+
+/// Bytes of digests and capacities in one gossip message; leaves room for the envelope with the longest sender id.
+constexpr std::size_t MaxGossipBytes = MaxDatagramBytes - 160;
+
+/// Encoded size of a digest, at most.
+auto sizeOf(const ZoneDigest &digest) -> std::size_t
+{
+    constexpr std::size_t FixedBytes = 40;
+    constexpr std::size_t VersionBytes = 10;
+    return FixedBytes + digest.zone_.value().size() + VersionBytes * digest.versions_.size();
+}
+
+/// Encoded size of a capacity, at most.
+auto sizeOf(const ZoneCapacity &capacity) -> std::size_t
+{
+    constexpr std::size_t FixedBytes = 30;
+    return FixedBytes + capacity.zone_.value().size();
+}
+
 /// Start of the counter of a process. Another run starts elsewhere, so that an echo meant for an earlier run of the same
 /// instance does not name a digest of this one.
 auto firstCounter(Incarnation incarnation) -> std::uint32_t
@@ -57,13 +78,43 @@
     }
     sendDigests(digest, now);
 
-    ZoneGossip gossip{state_.options_.self_, state_.options_.incarnation_, counter_, state_.knowledge_.exported(now, MaxGossipAge), {}};
-    for (const auto &[zone, capacity] : state_.knowledge_.capacities()) {
-        if (gossip.capacities_.size() < MaxZonesInMessage) {
-            gossip.capacities_.push_back(capacity);
+    startGossip(now);
+}
+
+auto DigestExchange::isCapacityRound() const -> bool
+{
+    return counter_ % CapacityRounds == 0;
+}
+
+auto DigestExchange::startGossip(SteadyTime now) -> void
+{
+    // A digest that was passed on before brings nothing new, since receivers let its age grow by themselves.
+    ZoneGossip gossip;
+    std::size_t size = 0;
+    const auto add = [&](auto &items, const auto &item, std::size_t itemSize) {
+        if (size + itemSize > MaxGossipBytes) {
+            forward(gossip);
+            gossip = {};
+            size = 0;
         }
+        items.push_back(item);
+        size += itemSize;
+    };
+    for (const auto &digest : state_.knowledge_.exported(now, MaxGossipAge)) {
+        const auto [known, isNew] = gossiped_.try_emplace(digest.zone_, digest.counter_);
+        if (isNew || known->second != digest.counter_) {
+            known->second = digest.counter_;
+            add(gossip.digests_, digest, sizeOf(digest));
+        }
+    }
+    if (isCapacityRound()) {
+        for (const auto &[zone, capacity] : state_.knowledge_.capacities()) {
+            add(gossip.capacities_, capacity, sizeOf(capacity));
+        }
+    }
+    if (size > 0) {
+        forward(gossip);
     }
-    forward(gossip);
 }
 
 auto DigestExchange::sendDigests(const ZoneDigest &digest, SteadyTime now) -> void
@@ -77,7 +128,7 @@
             continue;
         }
         const auto delegate = state_.table_.delegateOf(zone);
-        DigestMessage message{digest, capacitiesOfZone(now), 0, std::chrono::milliseconds(0)};
+        DigestMessage message{digest, isCapacityRound() ? capacitiesOfZone(now) : std::vector<ZoneCapacity>(), 0, std::chrono::milliseconds(0)};
         if (const auto last = received_.find(delegate); last != received_.end()) {
             message.echoedCounter_ = last->second.counter_;
             // Rounded down, since a longer time would make the peer take this digest as younger than it is.
@@ -110,28 +161,23 @@
     }
 }
 
-auto DigestExchange::receive(ZoneGossip message, SteadyTime receivedAt, SteadyTime now) -> void
+auto DigestExchange::receive(const ZoneGossip &message, SteadyTime receivedAt, SteadyTime now) -> void
 {
-    const auto *delegate = state_.table_.find(message.delegate_);
-    if (delegate == nullptr || delegate->entry_.incarnation_ != message.delegateIncarnation_) {
-        return;
-    }
-    auto &seen = seen_[message.delegate_];
-    if (seen.incarnation_ == message.delegateIncarnation_ && seen.counter_ >= message.counter_) {
-        return;
-    }
-    seen = {message.delegateIncarnation_, message.counter_};
-    std::erase_if(seen_, [this](const auto &item) {
-        return state_.table_.find(item.first) == nullptr;
-    });
-    for (auto &digest : message.digests_) {
-        state_.knowledge_.mergeDigest(digest, receivedAt - digest.age_, true, now);
-        digest.age_ += std::chrono::ceil<std::chrono::milliseconds>(now - receivedAt);
+    ZoneGossip news;
+    for (const auto &digest : message.digests_) {
+        if (state_.knowledge_.mergeDigest(digest, receivedAt - digest.age_, true, now)) {
+            news.digests_.push_back(digest);
+            news.digests_.back().age_ += std::chrono::ceil<std::chrono::milliseconds>(now - receivedAt);
+        }
     }
     for (const auto &capacity : message.capacities_) {
-        state_.knowledge_.mergeCapacity(capacity);
+        if (state_.knowledge_.mergeCapacity(capacity)) {
+            news.capacities_.push_back(capacity);
+        }
+    }
+    if (!news.digests_.empty() || !news.capacities_.empty()) {
+        forward(news);
     }
-    forward(message);
 }
 
 auto DigestExchange::repairMembers(SteadyTime now) -> void
@@ -149,7 +195,7 @@
         since->second = now;
         // A delegate asks the other zone's delegate; other members ask their own delegate.
         const auto own = state_.table_.delegateOf(state_.options_.zone_);
-        state_.send(own == state_.options_.self_ ? known.digest_.delegate_ : own, SyncRequest{state_.self_.entry_});
+        state_.send(own == state_.options_.self_ ? state_.table_.delegateOf(zone) : own, SyncRequest{state_.self_.entry_});
     }
 }
 
@@ -158,7 +204,8 @@
     // Each member passes gossip on to two others, so that every member but the delegate hears it from about two and one failed
     // member cuts off none. Position 0 is the delegate; position p sends to 2p+1 and 2p+2, modulo the size of the zone.
     auto ring = state_.table_.ring();
-    if (const auto start = std::find(ring.begin(), ring.end(), message.delegate_); start != ring.end()) {
+    const auto delegate = state_.table_.delegateOf(state_.options_.zone_);
+    if (const auto start = std::find(ring.begin(), ring.end(), delegate); start != ring.end()) {
         std::rotate(ring.begin(), start, ring.end());
     }
     const auto self = static_cast<std::size_t>(std::find(ring.begin(), ring.end(), state_.options_.self_) - ring.begin());
--- a/marjoramfold/membership/digestexchange.h
+++ b/marjoramfold/membership/digestexchange.h
@@ -19,8 +19,8 @@
     /// Takes the digest of another zone's delegate.
     auto receive(const DigestMessage &message, const InstanceId &sender, Incarnation incarnation, SteadyTime receivedAt, SteadyTime now) -> void;
 
-    /// Takes gossip and passes it on once.
-    auto receive(ZoneGossip message, SteadyTime receivedAt, SteadyTime now) -> void;
+    /// Takes gossip and passes on what is new in it.
+    auto receive(const ZoneGossip &message, SteadyTime receivedAt, SteadyTime now) -> void;
 
     /// Asks for a member table when the digest of a zone has shown other members than the own table for some time.
     auto repairMembers(SteadyTime now) -> void;
@@ -38,14 +38,10 @@
         SteadyTime at_;
     };
 
-    /// The newest gossip of a delegate.
-    struct SeenGossip {
-        Incarnation incarnation_ = 0;
-        std::uint32_t counter_ = 0;
-    };
-
     auto sendDigests(const ZoneDigest &digest, SteadyTime now) -> void;
+    auto startGossip(SteadyTime now) -> void;
     auto forward(const ZoneGossip &message) -> void;
+    [[nodiscard]] auto isCapacityRound() const -> bool;
     [[nodiscard]] auto sentAt(std::uint32_t counter) const -> std::optional<SteadyTime>;
     [[nodiscard]] auto capacitiesOfZone(SteadyTime now) const -> std::vector<ZoneCapacity>;
 
@@ -53,7 +49,8 @@
     std::uint32_t counter_;
     std::deque<SentDigest> sent_;
     std::map<InstanceId, ReceivedDigest> received_;
-    std::map<InstanceId, SeenGossip> seen_;
+    /// Counter of the digest of each zone that was last passed on in the own zone.
+    std::map<AvailabilityZoneId, std::uint32_t> gossiped_;
     /// Since when the members of a zone have differed.
     std::map<AvailabilityZoneId, SteadyTime> differing_;
 };
--- a/marjoramfold/membership/membership.cpp
+++ b/marjoramfold/membership/membership.cpp
@@ -180,7 +180,9 @@
         noteSignOfLife(datagram, now);
         const auto receivedAt = now - datagram.queued_;
         if (const auto *heartbeat = std::get_if<Heartbeat>(&datagram.message_)) {
-            state_.table_.storeReport(datagram.sender_, heartbeat->state_, receivedAt);
+            if (heartbeat->state_) {
+                state_.table_.storeReport(datagram.sender_, *heartbeat->state_, receivedAt);
+            }
         } else if (const auto *digest = std::get_if<DigestMessage>(&datagram.message_)) {
             onDigest(*digest, datagram, receivedAt, now);
         } else if (const auto *gossip = std::get_if<ZoneGossip>(&datagram.message_)) {
@@ -253,20 +255,22 @@
         }
     }
 
-    auto heartbeat(SteadyTime now) const -> Heartbeat
+    auto heartbeat(std::optional<NodeState> state) const -> Heartbeat
     {
-        return {state_.self_.entry_.refutation_, state_.self_.entry_.status_, state_.view_.localState(now)};
+        return {state_.self_.entry_.refutation_, state_.self_.entry_.status_, std::move(state)};
     }
 
     auto sendHeartbeats(SteadyTime now) -> void
     {
         const auto successors = state_.table_.successors();
+        const auto delegate = state_.table_.delegateOf(state_.options_.zone_);
+        const auto isReportDue = now - lastReport_ >= state_.options_.reportInterval_ || isFresherThanZone(now);
         for (const auto &peer : successors) {
-            state_.send(peer, heartbeat(now));
+            if (peer != delegate || !isReportDue) {
+                state_.send(peer, heartbeat(std::nullopt));
+            }
         }
-        const auto delegate = state_.table_.delegateOf(state_.options_.zone_);
-        const auto isCovered = std::find(successors.begin(), successors.end(), delegate) != successors.end();
-        if (!isCovered && (now - lastReport_ >= state_.options_.reportInterval_ || isFresherThanZone(now))) {
+        if (isReportDue) {
             report(now);
         }
     }
@@ -276,7 +280,7 @@
     {
         const auto delegate = state_.table_.delegateOf(state_.options_.zone_);
         if (delegate != state_.options_.self_) {
-            state_.send(delegate, heartbeat(now));
+            state_.send(delegate, heartbeat(state_.view_.localState(now)));
         }
         lastReport_ = now;
     }
--- a/marjoramfold/membership/membershipoptions.h
+++ b/marjoramfold/membership/membershipoptions.h
@@ -28,7 +28,7 @@
     std::chrono::milliseconds digestInterval_{1'000};
     /// Interval of reports to the delegate while nothing changes.
     std::chrono::milliseconds reportInterval_{2'000};
-    std::chrono::milliseconds antiEntropyInterval_{2'000};
+    std::chrono::milliseconds antiEntropyInterval_{4'000};
     /// Interval of attempts to reach instances that are dead or not known yet, so that partitions heal.
     std::chrono::milliseconds contactInterval_{2'000};
     /// A longer gap between two calls means that this process was paused.
--- a/marjoramfold/membership/membershipview.cpp
+++ b/marjoramfold/membership/membershipview.cpp
@@ -156,8 +156,6 @@
     const auto states = zoneStates(now);
     ZoneDigest digest;
     digest.zone_ = options_.zone_;
-    digest.delegate_ = options_.self_;
-    digest.delegateIncarnation_ = options_.incarnation_;
     digest.counter_ = counter;
     for (const auto &state : states) {
         if (state && state->confirmationAge_ && (!digest.confirmationAge_ || *state->confirmationAge_ < *digest.confirmationAge_)) {
@@ -257,7 +255,7 @@
     }
     for (const auto &[zone, known] : knowledge_.all()) {
         if (known.digest_.delegateHasNewest_ && !known.digest_.versions_.empty()) {
-            offerHolder(newest, known.digest_.versions_.front().version_, known.digest_.delegate_);
+            offerHolder(newest, known.digest_.versions_.front().version_, table_.delegateOf(zone));
         }
     }
     return newest;
--- a/marjoramfold/membership/messagecodec.h
+++ b/marjoramfold/membership/messagecodec.h
@@ -104,6 +104,16 @@
         }
     }
 
+    template<typename Value, typename Each>
+    auto optional(std::optional<Value> &value, const Each &each) -> void
+    {
+        auto present = value.has_value();
+        boolean(present);
+        if (present) {
+            each(*value);
+        }
+    }
+
 private:
     static auto requireAtMost(std::size_t size, std::size_t limit) -> void
     {
@@ -202,6 +212,17 @@
         }
     }
 
+    template<typename Value, typename Each>
+    auto optional(std::optional<Value> &value, const Each &each) -> void
+    {
+        auto present = false;
+        boolean(present);
+        value.reset();
+        if (present) {
+            each(value.emplace());
+        }
+    }
+
 private:
     /// A read-only stream buffer over bytes of the caller.
     class ViewBuffer : public std::streambuf
--- a/marjoramfold/membership/peermessages.cpp
+++ b/marjoramfold/membership/peermessages.cpp
@@ -73,8 +73,6 @@
 auto fields(Codec &codec, ZoneDigest &digest) -> void
 {
     codec.identifier(digest.zone_);
-    codec.identifier(digest.delegate_);
-    codec.number(digest.delegateIncarnation_);
     codec.number(digest.counter_);
     codec.duration(digest.age_);
     codec.optionalDuration(digest.confirmationAge_);
@@ -92,7 +90,9 @@
 {
     codec.number(message.refutation_);
     codec.enumeration(message.status_, MemberStatus::Left);
-    fields(codec, message.state_);
+    codec.optional(message.state_, [&codec](NodeState &state) {
+        fields(codec, state);
+    });
 }
 
 template<typename Codec>
@@ -107,9 +107,6 @@
 template<typename Codec>
 auto fields(Codec &codec, ZoneGossip &message) -> void
 {
-    codec.identifier(message.delegate_);
-    codec.number(message.delegateIncarnation_);
-    codec.number(message.counter_);
     list(codec, message.digests_, MaxZonesInMessage);
     list(codec, message.capacities_, MaxZonesInMessage);
 }
--- a/marjoramfold/membership/peermessages.h
+++ b/marjoramfold/membership/peermessages.h
@@ -101,12 +101,10 @@
     Unreadable,
 };
 
-/// Summary of an availability zone, made by its delegate.
+/// Summary of an availability zone, made by its delegate: its member with the lowest live id.
 struct ZoneDigest {
     AvailabilityZoneId zone_;
-    InstanceId delegate_;
-    Incarnation delegateIncarnation_ = 0;
-    /// Rises with each digest of a delegate.
+    /// Rises with each digest of a delegate; starts at a number that differs between processes.
     std::uint32_t counter_ = 0;
     /// Time since the delegate made the digest, added up along relays.
     std::chrono::milliseconds age_{0};
@@ -124,11 +122,11 @@
     std::vector<VersionCount> versions_;
 };
 
-/// Sent every heartbeat interval to the monitors of the sender, and as a report to the delegate.
+/// Sent every heartbeat interval to the monitors of the sender, and with the state as a report to the delegate.
 struct Heartbeat {
     std::uint32_t refutation_ = 0;
     MemberStatus status_ = MemberStatus::Alive;
-    NodeState state_;
+    std::optional<NodeState> state_;
 };
 
 /// Sent by a delegate to the delegates of the other availability zones.
@@ -143,9 +141,6 @@
 
 /// Knowledge of the delegate, passed on inside its availability zone.
 struct ZoneGossip {
-    InstanceId delegate_;
-    Incarnation delegateIncarnation_ = 0;
-    std::uint32_t counter_ = 0;
     std::vector<ZoneDigest> digests_;
     std::vector<ZoneCapacity> capacities_;
 };
--- a/marjoramfold/membership/zoneknowledge.cpp
+++ b/marjoramfold/membership/zoneknowledge.cpp
@@ -13,9 +13,11 @@
 /// Most availability zones that are remembered.
 constexpr std::size_t MaxKnownZones = 256;
 
+/// True for a digest of the same delegate that is not newer. Another process starts its counter elsewhere.
 auto isRepeat(const ZoneDigest &known, const ZoneDigest &offered) -> bool
 {
-    return known.delegate_ == offered.delegate_ && known.delegateIncarnation_ == offered.delegateIncarnation_ && offered.counter_ <= known.counter_;
+    constexpr std::uint32_t Window = 64;
+    return known.counter_ - offered.counter_ < Window;
 }
 
 auto precedence(const ZoneCapacity &capacity) -> std::tuple<Epoch, std::uint32_t>
@@ -61,15 +63,17 @@
     return true;
 }
 
-auto ZoneKnowledge::mergeCapacity(const ZoneCapacity &capacity) -> void
+auto ZoneKnowledge::mergeCapacity(const ZoneCapacity &capacity) -> bool
 {
     if (capacity.zone_.isEmpty() || (!capacities_.contains(capacity.zone_) && capacities_.size() >= MaxKnownZones)) {
-        return;
+        return false;
     }
     const auto [known, isNew] = capacities_.try_emplace(capacity.zone_, capacity);
     if (!isNew && precedence(known->second) < precedence(capacity)) {
         known->second = capacity;
+        return true;
     }
+    return isNew;
 }
 
 auto ZoneKnowledge::find(const AvailabilityZoneId &zone) const -> const KnownDigest *
--- a/marjoramfold/membership/zoneknowledge.h
+++ b/marjoramfold/membership/zoneknowledge.h
@@ -32,8 +32,8 @@
     /// Takes a digest that was made at a time by this instance's clock, unless a newer one is known. True when it was taken.
     auto mergeDigest(const ZoneDigest &digest, SteadyTime madeAt, bool confirmationBounded, SteadyTime now) -> bool;
 
-    /// Takes the newer statement about the capacity of a zone.
-    auto mergeCapacity(const ZoneCapacity &capacity) -> void;
+    /// Takes the newer statement about the capacity of a zone. True when it was newer than the known one.
+    auto mergeCapacity(const ZoneCapacity &capacity) -> bool;
 
     /// The newest digest of a zone, of any age.
     [[nodiscard]] auto find(const AvailabilityZoneId &zone) const -> const KnownDigest *;
--- a/marjoramfold/observability/logline.cpp
+++ b/marjoramfold/observability/logline.cpp
@@ -70,16 +70,17 @@
     return quoted;
 }
 
-LogLine::LogLine(LogSeverity severity, std::string_view event, std::source_location location)
+LogLine::LogLine(LogSeverity severity, std::string_view event, const char *file, int line)
     : severity_(severity)
     , event_(event)
-    , location_(location)
+    , file_(file)
+    , line_(line)
 {
 }
 
 LogLine::~LogLine()
 {
-    google::LogMessage(location_.file_name(), static_cast<int>(location_.line()), toGlog(severity_)).stream() << text();
+    google::LogMessage(file_, line_, toGlog(severity_)).stream() << text();
 }
 
 auto LogLine::request(std::string_view id) -> LogLine &
--- a/marjoramfold/observability/logline.h
+++ b/marjoramfold/observability/logline.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <source_location>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -22,7 +21,8 @@
 class LogLine
 {
 public:
-    LogLine(LogSeverity severity, std::string_view event, std::source_location location = std::source_location::current());
+    /// The file and line of the caller are taken by default.
+    LogLine(LogSeverity severity, std::string_view event, const char *file = __builtin_FILE(), int line = __builtin_LINE());
     ~LogLine();
     LogLine(const LogLine &) = delete;
     auto operator=(const LogLine &) -> LogLine & = delete;
@@ -54,7 +54,8 @@
 private:
     LogSeverity severity_;
     std::string event_;
-    std::source_location location_;
+    const char *file_;
+    int line_;
     std::string ids_;
     std::string fields_;
 };
--- a/tests/unit/test_envelope.cpp
+++ b/tests/unit/test_envelope.cpp
@@ -42,8 +42,6 @@
 {
     ZoneDigest digest;
     digest.zone_ = AvailabilityZoneId("zone-a");
-    digest.delegate_ = InstanceId("a1");
-    digest.delegateIncarnation_ = 9;
     digest.counter_ = 77;
     digest.age_ = 12ms;
     digest.confirmationAge_ = 340ms;
@@ -65,7 +63,7 @@
     return {
         Heartbeat{2, MemberStatus::Leaving, state},
         DigestMessage{sampleDigest(), {capacity}, 6, 90ms},
-        ZoneGossip{InstanceId("a1"), 9, 77, {sampleDigest(), sampleDigest()}, {capacity}},
+        ZoneGossip{{sampleDigest(), sampleDigest()}, {capacity}},
         MemberUpdate{{sampleEntry("a1"), sampleEntry("a2")}},
         SyncRequest{sampleEntry("a3")},
         Ping{8},
