Keep the delegate of ten zones within 3 KB/s

Digests that changed only in counter and ages go as 20-byte refreshes, whole digests go after changes and every 10 s, capacities every 4 s, and heartbeats to two monitors instead of three.

--- a/marjoramfold/membership/digestexchange.cpp
+++ b/marjoramfold/membership/digestexchange.cpp
@@ -15,8 +15,17 @@
 /// Time that differing members get to become equal by the broadcast of the change, before a table is asked for.
 constexpr std::chrono::milliseconds RepairAfter{2'000};
 
-/// Capacities go with every second digest; nothing urgent depends on them.
-constexpr std::uint32_t CapacityRounds = 2;
+/// Capacities of the own zone go with every fourth digest: they only guide the choice of a zone for new jobs.
+constexpr std::uint32_t CapacityRounds = 4;
+
+/// Rounds that carry whole digests after a change, so that the loss of one of them is made up for at once.
+constexpr int WholeRoundsAfterChange = 2;
+
+/// Every so many rounds digests are whole although nothing changed, for receivers that missed them.
+constexpr std::uint32_t WholeRoundInterval = 10;
+
+/// Digests that a receiver may be behind before it gets a whole one.
+constexpr std::uint32_t MaxDigestsBehind = 3;
 
 /// Bytes of digests and capacities in one gossip message; leaves room for the envelope with the longest sender id.
 constexpr std::size_t MaxGossipBytes = MaxDatagramBytes - 160;
@@ -29,6 +38,9 @@
     return FixedBytes + digest.zone_.value().size() + VersionBytes * digest.versions_.size();
 }
 
+/// Encoded size of a refresh.
+constexpr std::size_t RefreshBytes = 20;
+
 /// Encoded size of a capacity, at most.
 auto sizeOf(const ZoneCapacity &capacity) -> std::size_t
 {
@@ -73,19 +85,64 @@
     });
     const auto digest = state_.view_.makeDigest(++counter_, now);
     state_.knowledge_.mergeDigest(digest, now, true, now);
-    for (const auto &capacity : capacitiesOfZone(now)) {
-        state_.knowledge_.mergeCapacity(capacity);
+    noteOwnContent(digest);
+    if (isCapacityRound()) {
+        for (const auto &capacity : capacitiesOfZone(now)) {
+            state_.knowledge_.mergeCapacity(capacity);
+        }
     }
     sendDigests(digest, now);
 
     startGossip(now);
 }
 
+auto DigestExchange::speakerOf(const AvailabilityZoneId &zone, SteadyTime now) const -> InstanceId
+{
+    if (const auto speaker = speakers_.find(zone); speaker != speakers_.end() && now - speaker->second.heardAt_ <= state_.options_.answerTimeout_) {
+        const auto *member = state_.table_.find(speaker->second.id_);
+        if (member != nullptr && isLive(member->entry_)) {
+            return speaker->second.id_;
+        }
+    }
+    return state_.table_.delegateOf(zone);
+}
+
 auto DigestExchange::isCapacityRound() const -> bool
 {
     return counter_ % CapacityRounds == 0;
 }
 
+auto DigestExchange::noteOwnContent(const ZoneDigest &digest) -> void
+{
+    if (const auto hash = contentHash(digest); hash != ownContentHash_) {
+        ownContentHash_ = hash;
+        wholeRounds_ = WholeRoundsAfterChange;
+    } else if (wholeRounds_ > 0) {
+        --wholeRounds_;
+    }
+}
+
+auto DigestExchange::isUpToDate(const AvailabilityZoneId &zone, SteadyTime now) const -> bool
+{
+    const auto speaker = speakers_.find(zone);
+    return speaker != speakers_.end() && now - speaker->second.heardAt_ <= state_.options_.answerTimeout_
+        && counter_ - speaker->second.echoedCounter_ <= MaxDigestsBehind;
+}
+
+auto DigestExchange::needsWholeGossip(const ZoneDigest &digest) -> bool
+{
+    auto &last = gossiped_[digest.zone_];
+    const auto hash = contentHash(digest);
+    if (last.contentHash_ != hash) {
+        last.contentHash_ = hash;
+        last.wholeRounds_ = WholeRoundsAfterChange;
+    } else if (last.wholeRounds_ > 0) {
+        --last.wholeRounds_;
+    }
+    // A change of the own zone may be a new member, which knows no digest yet.
+    return last.wholeRounds_ > 0 || wholeRounds_ > 0 || counter_ % WholeRoundInterval == 0;
+}
+
 auto DigestExchange::startGossip(SteadyTime now) -> void
 {
     // A digest that was passed on before brings nothing new, since receivers let its age grow by themselves.
@@ -101,14 +158,22 @@
         size += itemSize;
     };
     for (const auto &digest : state_.knowledge_.exported(now, MaxGossipAge)) {
-        const auto [known, isNew] = gossiped_.try_emplace(digest.zone_, digest.counter_);
-        if (isNew || known->second != digest.counter_) {
-            known->second = digest.counter_;
+        const auto [known, isNew] = gossiped_.try_emplace(digest.zone_);
+        if (!isNew && known->second.counter_ == digest.counter_) {
+            continue;
+        }
+        known->second.counter_ = digest.counter_;
+        if (needsWholeGossip(digest)) {
             add(gossip.digests_, digest, sizeOf(digest));
+        } else {
+            add(gossip.refreshes_, refreshOf(digest), RefreshBytes);
         }
     }
-    if (isCapacityRound()) {
-        for (const auto &[zone, capacity] : state_.knowledge_.capacities()) {
+    for (const auto &[zone, capacity] : state_.knowledge_.capacities()) {
+        auto &last = gossipedCapacities_[zone];
+        const auto isChanged = last.epoch_ != capacity.epoch_ || last.counter_ != capacity.counter_;
+        if (isChanged || wholeRounds_ > 0 || counter_ % WholeRoundInterval == 0) {
+            last = capacity;
             add(gossip.capacities_, capacity, sizeOf(capacity));
         }
     }
@@ -127,8 +192,16 @@
         if (zone == state_.options_.zone_) {
             continue;
         }
-        const auto delegate = state_.table_.delegateOf(zone);
-        DigestMessage message{digest, isCapacityRound() ? capacitiesOfZone(now) : std::vector<ZoneCapacity>(), 0, std::chrono::milliseconds(0)};
+        const auto delegate = speakerOf(zone, now);
+        DigestMessage message;
+        if (wholeRounds_ > 0 || !isUpToDate(zone, now)) {
+            message.digest_ = digest;
+        } else {
+            message.refresh_ = refreshOf(digest);
+        }
+        if (isCapacityRound()) {
+            message.capacities_ = capacitiesOfZone(now);
+        }
         if (const auto last = received_.find(delegate); last != received_.end()) {
             message.echoedCounter_ = last->second.counter_;
             // Rounded down, since a longer time would make the peer take this digest as younger than it is.
@@ -148,14 +221,22 @@
 
 auto DigestExchange::receive(const DigestMessage &message, const InstanceId &sender, Incarnation incarnation, SteadyTime receivedAt, SteadyTime now) -> void
 {
+    const auto digest = message.refresh_ ? state_.knowledge_.complete(*message.refresh_) : message.digest_;
+    const auto *member = state_.table_.find(sender);
+    if (!digest || member == nullptr || member->entry_.zone_ != digest->zone_) {
+        return;
+    }
+    // A refresh that could not be completed is not echoed, so that the peer sends the whole digest again.
     auto &last = received_[sender];
-    if (last.incarnation_ != incarnation || last.counter_ < message.digest_.counter_) {
-        last = {incarnation, message.digest_.counter_, now};
+    if (last.incarnation_ != incarnation || last.counter_ < digest->counter_) {
+        last = {incarnation, digest->counter_, now};
     }
+    speakers_[digest->zone_] = {sender, now, message.echoedCounter_};
+
     // The peer made this digest after our echoed digest reached it, so its age is bounded even when the network delays it.
     const auto echoed = sentAt(message.echoedCounter_);
-    const auto madeAt = echoed ? std::min(*echoed + message.echoHeld_, receivedAt) - message.digest_.age_ : receivedAt - message.digest_.age_;
-    state_.knowledge_.mergeDigest(message.digest_, madeAt, echoed.has_value(), now);
+    const auto madeAt = echoed ? std::min(*echoed + message.echoHeld_, receivedAt) - digest->age_ : receivedAt - digest->age_;
+    state_.knowledge_.mergeDigest(*digest, madeAt, echoed.has_value(), now);
     for (const auto &capacity : message.capacities_) {
         state_.knowledge_.mergeCapacity(capacity);
     }
@@ -164,10 +245,18 @@
 auto DigestExchange::receive(const ZoneGossip &message, SteadyTime receivedAt, SteadyTime now) -> void
 {
     ZoneGossip news;
+    const auto waited = std::chrono::ceil<std::chrono::milliseconds>(now - receivedAt);
     for (const auto &digest : message.digests_) {
         if (state_.knowledge_.mergeDigest(digest, receivedAt - digest.age_, true, now)) {
             news.digests_.push_back(digest);
-            news.digests_.back().age_ += std::chrono::ceil<std::chrono::milliseconds>(now - receivedAt);
+            news.digests_.back().age_ += waited;
+        }
+    }
+    for (const auto &refresh : message.refreshes_) {
+        const auto digest = state_.knowledge_.complete(refresh);
+        if (digest && state_.knowledge_.mergeDigest(*digest, receivedAt - digest->age_, true, now)) {
+            news.refreshes_.push_back(refresh);
+            news.refreshes_.back().age_ += waited;
         }
     }
     for (const auto &capacity : message.capacities_) {
@@ -175,7 +264,7 @@
             news.capacities_.push_back(capacity);
         }
     }
-    if (!news.digests_.empty() || !news.capacities_.empty()) {
+    if (!news.digests_.empty() || !news.refreshes_.empty() || !news.capacities_.empty()) {
         forward(news);
     }
 }
@@ -195,7 +284,7 @@
         since->second = now;
         // A delegate asks the other zone's delegate; other members ask their own delegate.
         const auto own = state_.table_.delegateOf(state_.options_.zone_);
-        state_.send(own == state_.options_.self_ ? state_.table_.delegateOf(zone) : own, SyncRequest{state_.self_.entry_});
+        state_.send(own == state_.options_.self_ ? speakerOf(zone, now) : own, SyncRequest{state_.self_.entry_});
     }
 }
 
--- a/marjoramfold/membership/digestexchange.h
+++ b/marjoramfold/membership/digestexchange.h
@@ -38,7 +38,28 @@
         SteadyTime at_;
     };
 
+    struct Speaker {
+        InstanceId id_;
+        SteadyTime heardAt_;
+        /// Counter of this instance's digest that the speaker had received last.
+        std::uint32_t echoedCounter_ = 0;
+    };
+
+    /// The last digest of a zone that was passed on in the own zone.
+    struct Gossiped {
+        std::uint32_t counter_ = 0;
+        std::uint32_t contentHash_ = 0;
+        /// Rounds that still carry the whole digest.
+        int wholeRounds_ = 0;
+    };
+
     auto sendDigests(const ZoneDigest &digest, SteadyTime now) -> void;
+    /// The instance that speaks for a zone: the one whose digest came last, else the lowest live id. The two differ while this
+    /// instance has not heard that a lower id ended.
+    [[nodiscard]] auto speakerOf(const AvailabilityZoneId &zone, SteadyTime now) const -> InstanceId;
+    [[nodiscard]] auto isUpToDate(const AvailabilityZoneId &zone, SteadyTime now) const -> bool;
+    auto noteOwnContent(const ZoneDigest &digest) -> void;
+    [[nodiscard]] auto needsWholeGossip(const ZoneDigest &digest) -> bool;
     auto startGossip(SteadyTime now) -> void;
     auto forward(const ZoneGossip &message) -> void;
     [[nodiscard]] auto isCapacityRound() const -> bool;
@@ -49,8 +70,13 @@
     std::uint32_t counter_;
     std::deque<SentDigest> sent_;
     std::map<InstanceId, ReceivedDigest> received_;
-    /// Counter of the digest of each zone that was last passed on in the own zone.
-    std::map<AvailabilityZoneId, std::uint32_t> gossiped_;
+    std::map<AvailabilityZoneId, Gossiped> gossiped_;
+    std::map<AvailabilityZoneId, ZoneCapacity> gossipedCapacities_;
+    std::uint32_t ownContentHash_ = 0;
+    /// Rounds in which all receivers get whole digests, after the own zone changed.
+    int wholeRounds_ = 0;
+    /// Sender of the last digest of each zone.
+    std::map<AvailabilityZoneId, Speaker> speakers_;
     /// Since when the members of a zone have differed.
     std::map<AvailabilityZoneId, SteadyTime> differing_;
 };
--- a/marjoramfold/membership/membershipoptions.h
+++ b/marjoramfold/membership/membershipoptions.h
@@ -41,9 +41,10 @@
     std::chrono::seconds endedRetention_{600};
 
     /// Members of the same availability zone that each instance sends heartbeats to: the next ones by id, in a circle.
-    /// Three must fail together with the sender before its death is noticed late; a bounded number keeps the traffic of an
-    /// instance independent of the size of its zone.
-    std::size_t monitors_ = 3;
+    /// A bounded number keeps the traffic of an instance independent of the size of its zone. When both monitors fail together
+    /// with the sender, its death is noticed one detection time later, by the next ones. A third monitor would bring the
+    /// delegate of ten zones over 3 KB/s.
+    std::size_t monitors_ = 2;
     /// Third instances that are asked to probe a suspected one.
     std::size_t helpers_ = 2;
     /// Entries in one anti-entropy update.
--- a/marjoramfold/membership/peermessages.cpp
+++ b/marjoramfold/membership/peermessages.cpp
@@ -45,6 +45,9 @@
 template<typename Codec>
 auto fields(Codec &codec, ZoneDigest &digest) -> void;
 
+template<typename Codec>
+auto fields(Codec &codec, DigestRefresh &refresh) -> void;
+
 template<typename Codec, typename Item>
 auto list(Codec &codec, std::vector<Item> &items, std::size_t limit) -> void
 {
@@ -85,6 +88,16 @@
     list(codec, digest.versions_, MaxVersionsInDigest);
 }
 
+template<typename Codec>
+auto fields(Codec &codec, DigestRefresh &refresh) -> void
+{
+    codec.number(refresh.zoneKey_);
+    codec.number(refresh.counter_);
+    codec.number(refresh.contentHash_);
+    codec.duration(refresh.age_);
+    codec.optionalDuration(refresh.confirmationAge_);
+}
+
 template<typename Codec>
 auto fields(Codec &codec, Heartbeat &message) -> void
 {
@@ -98,7 +111,12 @@
 template<typename Codec>
 auto fields(Codec &codec, DigestMessage &message) -> void
 {
-    fields(codec, message.digest_);
+    codec.optional(message.digest_, [&codec](ZoneDigest &digest) {
+        fields(codec, digest);
+    });
+    codec.optional(message.refresh_, [&codec](DigestRefresh &refresh) {
+        fields(codec, refresh);
+    });
     list(codec, message.capacities_, MaxZonesInMessage);
     codec.number(message.echoedCounter_);
     codec.duration(message.echoHeld_);
@@ -108,6 +126,7 @@
 auto fields(Codec &codec, ZoneGossip &message) -> void
 {
     list(codec, message.digests_, MaxZonesInMessage);
+    list(codec, message.refreshes_, MaxZonesInMessage);
     list(codec, message.capacities_, MaxZonesInMessage);
 }
 
--- a/marjoramfold/membership/peermessages.h
+++ b/marjoramfold/membership/peermessages.h
@@ -122,6 +122,18 @@
     std::vector<VersionCount> versions_;
 };
 
+/// Stands for a digest that differs from an earlier one only in its counter and ages. At ten availability zones whole digests
+/// every second would exceed the budget of a delegate.
+struct DigestRefresh {
+    /// Hash of the zone's name.
+    std::uint32_t zoneKey_ = 0;
+    std::uint32_t counter_ = 0;
+    /// Hash of the fields that are left out.
+    std::uint32_t contentHash_ = 0;
+    std::chrono::milliseconds age_{0};
+    std::optional<std::chrono::milliseconds> confirmationAge_;
+};
+
 /// Sent every heartbeat interval to the monitors of the sender, and with the state as a report to the delegate.
 struct Heartbeat {
     std::uint32_t refutation_ = 0;
@@ -131,7 +143,9 @@
 
 /// Sent by a delegate to the delegates of the other availability zones.
 struct DigestMessage {
-    ZoneDigest digest_;
+    /// One of the two is set.
+    std::optional<ZoneDigest> digest_;
+    std::optional<DigestRefresh> refresh_;
     std::vector<ZoneCapacity> capacities_;
     /// Counter of the newest digest that arrived from the receiver; 0 for none.
     std::uint32_t echoedCounter_ = 0;
@@ -142,6 +156,7 @@
 /// Knowledge of the delegate, passed on inside its availability zone.
 struct ZoneGossip {
     std::vector<ZoneDigest> digests_;
+    std::vector<DigestRefresh> refreshes_;
     std::vector<ZoneCapacity> capacities_;
 };
 
--- a/marjoramfold/membership/zoneknowledge.cpp
+++ b/marjoramfold/membership/zoneknowledge.cpp
@@ -20,12 +20,62 @@
     return known.counter_ - offered.counter_ < Window;
 }
 
+/// FNV-1a hash; std::hash may differ between builds.
+auto hashOf(std::string_view text) -> std::uint32_t
+{
+    constexpr std::uint32_t OffsetBasis = 2'166'136'261U;
+    constexpr std::uint32_t Prime = 16'777'619U;
+    auto hash = OffsetBasis;
+    for (const auto c : text) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * Prime;
+    }
+    return hash;
+}
+
 auto precedence(const ZoneCapacity &capacity) -> std::tuple<Epoch, std::uint32_t>
 {
     return {capacity.epoch_, capacity.counter_};
 }
 } // namespace
 
+auto contentHash(const ZoneDigest &digest) -> std::uint32_t
+{
+    auto text = digest.zone_.value();
+    const auto add = [&text](std::uint64_t value) {
+        text += '/' + std::to_string(value);
+    };
+    add(digest.confirmedVersion_);
+    add(static_cast<std::uint64_t>(digest.logState_));
+    add(digest.delegateHasNewest_ ? 1 : 0);
+    add(digest.liveInstances_);
+    add(digest.drainingInstances_);
+    add(digest.membersFingerprint_);
+    for (const auto &count : digest.versions_) {
+        add(count.version_);
+        add(count.instances_);
+    }
+    return hashOf(text);
+}
+
+auto refreshOf(const ZoneDigest &digest) -> DigestRefresh
+{
+    return {hashOf(digest.zone_.value()), digest.counter_, contentHash(digest), digest.age_, digest.confirmationAge_};
+}
+
+auto ZoneKnowledge::complete(const DigestRefresh &refresh) const -> std::optional<ZoneDigest>
+{
+    for (const auto &[zone, known] : digests_) {
+        if (hashOf(zone.value()) == refresh.zoneKey_ && contentHash(known.digest_) == refresh.contentHash_) {
+            auto digest = known.digest_;
+            digest.counter_ = refresh.counter_;
+            digest.age_ = refresh.age_;
+            digest.confirmationAge_ = refresh.confirmationAge_;
+            return digest;
+        }
+    }
+    return std::nullopt;
+}
+
 auto lowestVersion(const ZoneDigest &digest) -> Offset
 {
     return digest.versions_.empty() ? 0 : digest.versions_.back().version_;
--- a/marjoramfold/membership/zoneknowledge.h
+++ b/marjoramfold/membership/zoneknowledge.h
@@ -32,6 +32,9 @@
     /// Takes a digest that was made at a time by this instance's clock, unless a newer one is known. True when it was taken.
     auto mergeDigest(const ZoneDigest &digest, SteadyTime madeAt, bool confirmationBounded, SteadyTime now) -> bool;
 
+    /// The whole digest that a refresh stands for; empty when the earlier digest is not known.
+    [[nodiscard]] auto complete(const DigestRefresh &refresh) const -> std::optional<ZoneDigest>;
+
     /// Takes the newer statement about the capacity of a zone. True when it was newer than the known one.
     auto mergeCapacity(const ZoneCapacity &capacity) -> bool;
 
@@ -57,6 +60,12 @@
     std::map<AvailabilityZoneId, std::vector<InForceRecord>> inForce_;
 };
 
+/// Hash of what a refresh leaves out of a digest.
+[[nodiscard]] auto contentHash(const ZoneDigest &digest) -> std::uint32_t;
+
+/// What stands for a digest when the receiver knows the rest.
+[[nodiscard]] auto refreshOf(const ZoneDigest &digest) -> DigestRefresh;
+
 /// Lowest version in force among the live instances of a digest; 0 when one has not reported.
 [[nodiscard]] auto lowestVersion(const ZoneDigest &digest) -> Offset;
 
