Hide the members of silent zones, and repair member tables both ways

Cause: when all instances of a zone died at once, nobody could confirm their deaths, and they stayed live peers for ever; and a zone that had missed a restart of its own member was never told by the others. Change: members of a zone without a digest for 60 s are no live peers and are passed on only to members of that zone, who find out; on a difference of member tables each side sends its entries. marjoramctl tells the time until a zone was in force from confirmed_ms, and keeps line breaks of errors.

--- a/marjoramfold/membership/digestexchange.cpp
+++ b/marjoramfold/membership/digestexchange.cpp
@@ -269,8 +269,9 @@
     }
 }
 
-auto DigestExchange::repairMembers(SteadyTime now) -> void
+auto DigestExchange::findDifferences(SteadyTime now) -> std::vector<Difference>
 {
+    std::vector<Difference> differences;
     for (const auto &[zone, known] : state_.knowledge_.all()) {
         const auto isOld = now - known.madeAt_ > state_.options_.answerTimeout_;
         if (isOld || known.digest_.membersFingerprint_ == state_.table_.fingerprint(zone, state_.self_.entry_)) {
@@ -282,10 +283,11 @@
             continue;
         }
         since->second = now;
-        // A delegate asks the other zone's delegate; other members ask their own delegate.
+        // A delegate turns to the other zone's delegate; other members turn to their own delegate.
         const auto own = state_.table_.delegateOf(state_.options_.zone_);
-        state_.send(own == state_.options_.self_ ? speakerOf(zone, now) : own, SyncRequest{state_.self_.entry_});
+        differences.push_back({zone, own == state_.options_.self_ ? speakerOf(zone, now) : own});
     }
+    return differences;
 }
 
 auto DigestExchange::forward(const ZoneGossip &message) -> void
--- a/marjoramfold/membership/digestexchange.h
+++ b/marjoramfold/membership/digestexchange.h
@@ -22,8 +22,14 @@
     /// Takes gossip and passes on what is new in it.
     auto receive(const ZoneGossip &message, SteadyTime receivedAt, SteadyTime now) -> void;
 
-    /// Asks for a member table when the digest of a zone has shown other members than the own table for some time.
-    auto repairMembers(SteadyTime now) -> void;
+    /// Whom to compare the members of a zone with.
+    struct Difference {
+        AvailabilityZoneId zone_;
+        InstanceId with_;
+    };
+
+    /// Zones whose digests have shown other members than the own table for some time.
+    [[nodiscard]] auto findDifferences(SteadyTime now) -> std::vector<Difference>;
 
 private:
     struct SentDigest {
--- a/marjoramfold/membership/membership.cpp
+++ b/marjoramfold/membership/membership.cpp
@@ -59,6 +59,7 @@
     {
         state_.commands_.clear();
         detectPause(now);
+        state_.self_.now_ = now;
         if (!left_) {
             std::visit(
                 [this, now](const auto &specific) {
@@ -141,18 +142,19 @@
         }
         if (digestTimer_.fires(now, options.digestInterval_) && !options.fullMesh_) {
             digests_.run(now);
-            digests_.repairMembers(now);
+            repairMembers(now);
         }
         if (antiEntropyTimer_.fires(now, options.antiEntropyInterval_)) {
             updates_.sendAntiEntropy(now);
         }
-        const auto isAlone = state_.table_.allLivePeers().empty();
+        const auto isAlone = state_.view_.livePeers().empty();
         if (contactTimer_.fires(now, isAlone ? FirstContactInterval : options.contactInterval_)) {
             contact(isAlone ? FirstContacts : 1);
         }
         if (purgeTimer_.fires(now, PurgeInterval)) {
             state_.table_.purge(now);
         }
+        state_.knowledge_.noteZones(state_.table_.zones(), now);
         prober_.expire(now);
     }
 
@@ -194,6 +196,15 @@
         }
     }
 
+    /// Brings differing views of a zone together in both directions: either side may know what the other has missed.
+    auto repairMembers(SteadyTime now) -> void
+    {
+        for (const auto &difference : digests_.findDifferences(now)) {
+            state_.send(difference.with_, SyncRequest{state_.self_.entry_});
+            updates_.sendZone(difference.zone_, difference.with_, now);
+        }
+    }
+
     auto onSyncRequest(const SyncRequest &sync, const PeerDatagram &datagram, SteadyTime now) -> void
     {
         if (sync.self_.id_ != datagram.sender_ || sync.self_.incarnation_ != datagram.incarnation_) {
@@ -311,15 +322,15 @@
         auto addresses = state_.options_.seeds_;
         addresses.insert(addresses.end(), listed_.begin(), listed_.end());
         for (const auto &[id, member] : state_.table_.members()) {
-            if (member.entry_.status_ == MemberStatus::Dead) {
+            if (member.entry_.status_ == MemberStatus::Dead || state_.view_.isSilent(member.entry_.zone_)) {
                 addresses.push_back(member.entry_.address_);
             }
         }
         std::sort(addresses.begin(), addresses.end());
         addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
         std::erase(addresses, state_.options_.address_);
-        for (const auto *peer : state_.table_.allLivePeers()) {
-            std::erase(addresses, peer->entry_.address_);
+        for (const auto &peer : state_.view_.livePeers()) {
+            std::erase(addresses, peer.address_);
         }
         for (std::size_t i = 0; i < std::min(count, addresses.size()); ++i) {
             state_.sendTo({}, addresses[contactCursor_++ % addresses.size()], SyncRequest{state_.self_.entry_});
--- a/marjoramfold/membership/membershipoptions.h
+++ b/marjoramfold/membership/membershipoptions.h
@@ -37,6 +37,9 @@
     std::chrono::milliseconds stateTimeout_{6'000};
     /// Age at which the digest of an availability zone no longer counts as an answer of it.
     std::chrono::milliseconds answerTimeout_{3'000};
+    /// Time without a digest after which the members of another zone no longer count as live peers. They are not taken as dead,
+    /// since only members of their own zone can tell a dead zone from a cut-off one.
+    std::chrono::milliseconds zoneSilence_{60'000};
     /// How long ended members are remembered. They are passed on for half of this time, so that none circulates for ever.
     std::chrono::seconds endedRetention_{600};
 
--- a/marjoramfold/membership/membershipview.cpp
+++ b/marjoramfold/membership/membershipview.cpp
@@ -77,9 +77,21 @@
     return {entry.id_, entry.zone_, entry.address_, entry.incarnation_, entry.status_ == MemberStatus::Leaving, detector_.isSuspected(entry.id_)};
 }
 
+auto MembershipView::isSilent(const AvailabilityZoneId &zone) const -> bool
+{
+    if (zone == options_.zone_ || options_.fullMesh_) {
+        return false;
+    }
+    const auto heard = knowledge_.lastHeard(zone);
+    return heard && self_.now_ - *heard > options_.zoneSilence_;
+}
+
 auto MembershipView::livePeers(const AvailabilityZoneId &zone) const -> std::vector<LivePeer>
 {
     std::vector<LivePeer> peers;
+    if (isSilent(zone)) {
+        return peers;
+    }
     for (const auto *member : table_.livePeers(zone)) {
         peers.push_back(toLivePeer(member->entry_));
     }
@@ -90,7 +102,9 @@
 {
     std::vector<LivePeer> peers;
     for (const auto *member : table_.allLivePeers()) {
-        peers.push_back(toLivePeer(member->entry_));
+        if (!isSilent(member->entry_.zone_)) {
+            peers.push_back(toLivePeer(member->entry_));
+        }
     }
     return peers;
 }
@@ -98,7 +112,7 @@
 auto MembershipView::livePeer(const InstanceId &id) const -> std::optional<LivePeer>
 {
     const auto *member = table_.find(id);
-    if (member == nullptr || !isLive(member->entry_)) {
+    if (member == nullptr || !isLive(member->entry_) || isSilent(member->entry_.zone_)) {
         return std::nullopt;
     }
     return toLivePeer(member->entry_);
@@ -239,9 +253,8 @@
 
 auto MembershipView::offerHolder(NewestRules &newest, Offset version, const InstanceId &holder) const -> void
 {
-    const auto *member = table_.find(holder);
-    if (version > newest.version_ && member != nullptr && isLive(member->entry_)) {
-        newest = {version, holder, member->entry_.address_};
+    if (const auto peer = livePeer(holder); version > newest.version_ && peer) {
+        newest = {version, holder, peer->address_};
     }
 }
 
--- a/marjoramfold/membership/membershipview.h
+++ b/marjoramfold/membership/membershipview.h
@@ -16,6 +16,8 @@
     NodeState state_;
     /// When the state was set; ages in the state count from then.
     SteadyTime stateSetAt_;
+    /// Time of the last event.
+    SteadyTime now_;
 };
 
 /// A live instance other than this one.
@@ -98,13 +100,16 @@
     /// Availability zones with live members, and the own one.
     [[nodiscard]] auto zones() const -> std::vector<AvailabilityZoneId>;
 
-    /// Live instances of a zone, in order of id, without this one.
+    /// True for another zone that has not been heard of for so long that its members do not count as live peers.
+    [[nodiscard]] auto isSilent(const AvailabilityZoneId &zone) const -> bool;
+
+    /// Live instances of a zone that is not silent, in order of id, without this one.
     [[nodiscard]] auto livePeers(const AvailabilityZoneId &zone) const -> std::vector<LivePeer>;
 
-    /// All live instances besides this one, in order of id.
+    /// All live instances of zones that are not silent, besides this one, in order of id.
     [[nodiscard]] auto livePeers() const -> std::vector<LivePeer>;
 
-    /// A live instance by its id.
+    /// A live instance of a zone that is not silent, by its id.
     [[nodiscard]] auto livePeer(const InstanceId &id) const -> std::optional<LivePeer>;
 
     /// Instances that ended within the retention time, in order of id.
--- a/marjoramfold/membership/memberupdates.cpp
+++ b/marjoramfold/membership/memberupdates.cpp
@@ -132,17 +132,44 @@
     }
 }
 
+auto MemberUpdates::exportedTo(const AvailabilityZoneId &recipientZone, const Member &member, SteadyTime now) const -> std::optional<MemberEntry>
+{
+    // Members of a silent zone may be gone: nobody else is told of them, except for members of that zone, who can find out.
+    if (isLive(member.entry_) && member.entry_.zone_ != recipientZone && state_.view_.isSilent(member.entry_.zone_)) {
+        return std::nullopt;
+    }
+    return state_.table_.exported(member, now);
+}
+
 auto MemberUpdates::sendTable(const InstanceId &recipient, const std::string &address, SteadyTime now) -> void
 {
     std::vector<MemberEntry> entries{state_.self_.entry_};
+    const auto recipientZone = zoneOf(recipient);
     for (const auto &[id, member] : state_.table_.members()) {
-        if (auto entry = state_.table_.exported(member, now)) {
+        if (auto entry = exportedTo(recipientZone, member, now)) {
             entries.push_back(std::move(*entry));
         }
     }
     sendEntries(entries, recipient, address);
 }
 
+auto MemberUpdates::sendZone(const AvailabilityZoneId &zone, const InstanceId &recipient, SteadyTime now) -> void
+{
+    const auto *target = state_.table_.find(recipient);
+    if (target == nullptr) {
+        return;
+    }
+    std::vector<MemberEntry> entries;
+    for (const auto &[id, member] : state_.table_.members()) {
+        if (member.entry_.zone_ == zone) {
+            if (auto entry = exportedTo(target->entry_.zone_, member, now)) {
+                entries.push_back(std::move(*entry));
+            }
+        }
+    }
+    sendEntries(entries, recipient, target->entry_.address_);
+}
+
 auto MemberUpdates::antiEntropyPeer() -> InstanceId
 {
     auto candidates = state_.table_.ring();
@@ -172,7 +199,7 @@
             next = members.begin();
         }
         antiEntropyCursor_ = next->first;
-        if (auto entry = state_.table_.exported(next->second, now)) {
+        if (auto entry = exportedTo(zoneOf(recipient), next->second, now)) {
             entries.push_back(std::move(*entry));
         }
         ++next;
--- a/marjoramfold/membership/memberupdates.h
+++ b/marjoramfold/membership/memberupdates.h
@@ -32,6 +32,9 @@
     /// Sends the whole table to an instance.
     auto sendTable(const InstanceId &recipient, const std::string &address, SteadyTime now) -> void;
 
+    /// Sends the entries of a zone to an instance.
+    auto sendZone(const AvailabilityZoneId &zone, const InstanceId &recipient, SteadyTime now) -> void;
+
     /// Sends the next few entries to a random peer.
     auto sendAntiEntropy(SteadyTime now) -> void;
 
@@ -45,6 +48,8 @@
     auto refute(const MemberEntry &entry) -> void;
     auto sendEntries(const std::vector<MemberEntry> &entries, const InstanceId &recipient, const std::string &address) -> void;
     [[nodiscard]] auto antiEntropyPeer() -> InstanceId;
+    /// An entry as it is passed on to a member of a zone, if it is passed on at all.
+    [[nodiscard]] auto exportedTo(const AvailabilityZoneId &recipientZone, const Member &member, SteadyTime now) const -> std::optional<MemberEntry>;
     [[nodiscard]] auto zoneOf(const InstanceId &id) const -> AvailabilityZoneId;
 
     MembershipState &state_;
--- a/marjoramfold/membership/peerprober.cpp
+++ b/marjoramfold/membership/peerprober.cpp
@@ -24,10 +24,9 @@
     // Helpers come from the own and from other zones in turn, so that a split inside a zone is seen through from outside.
     std::vector<InstanceId> own;
     std::vector<InstanceId> others;
-    for (const auto *peer : state_.table_.allLivePeers()) {
-        const auto &id = peer->entry_.id_;
-        if (id != suspect && !state_.detector_.isSuspected(id)) {
-            (peer->entry_.zone_ == state_.options_.zone_ ? own : others).push_back(id);
+    for (const auto &peer : state_.view_.livePeers()) {
+        if (peer.id_ != suspect && !peer.suspected_) {
+            (peer.zone_ == state_.options_.zone_ ? own : others).push_back(peer.id_);
         }
     }
     std::shuffle(own.begin(), own.end(), random_);
--- a/marjoramfold/membership/zoneknowledge.cpp
+++ b/marjoramfold/membership/zoneknowledge.cpp
@@ -126,6 +126,28 @@
     return isNew;
 }
 
+auto ZoneKnowledge::noteZones(const std::vector<AvailabilityZoneId> &zones, SteadyTime now) -> void
+{
+    std::erase_if(noted_, [&zones](const auto &item) {
+        return std::find(zones.begin(), zones.end(), item.first) == zones.end();
+    });
+    for (const auto &zone : zones) {
+        noted_.try_emplace(zone, now);
+    }
+}
+
+auto ZoneKnowledge::lastHeard(const AvailabilityZoneId &zone) const -> std::optional<SteadyTime>
+{
+    std::optional<SteadyTime> heard;
+    if (const auto noted = noted_.find(zone); noted != noted_.end()) {
+        heard = noted->second;
+    }
+    if (const auto *known = find(zone); known != nullptr && (!heard || *heard < known->madeAt_)) {
+        heard = known->madeAt_;
+    }
+    return heard;
+}
+
 auto ZoneKnowledge::find(const AvailabilityZoneId &zone) const -> const KnownDigest *
 {
     const auto found = digests_.find(zone);
--- a/marjoramfold/membership/zoneknowledge.h
+++ b/marjoramfold/membership/zoneknowledge.h
@@ -38,6 +38,12 @@
     /// Takes the newer statement about the capacity of a zone. True when it was newer than the known one.
     auto mergeCapacity(const ZoneCapacity &capacity) -> bool;
 
+    /// Notes which zones have members, so that the silence of a zone without any digest is timed too.
+    auto noteZones(const std::vector<AvailabilityZoneId> &zones, SteadyTime now) -> void;
+
+    /// When the newest digest of a zone was made, or the zone was first noted; empty for an unknown zone.
+    [[nodiscard]] auto lastHeard(const AvailabilityZoneId &zone) const -> std::optional<SteadyTime>;
+
     /// The newest digest of a zone, of any age.
     [[nodiscard]] auto find(const AvailabilityZoneId &zone) const -> const KnownDigest *;
 
@@ -57,6 +63,7 @@
 private:
     std::map<AvailabilityZoneId, KnownDigest> digests_;
     std::map<AvailabilityZoneId, ZoneCapacity> capacities_;
+    std::map<AvailabilityZoneId, SteadyTime> noted_;
     std::map<AvailabilityZoneId, std::vector<InForceRecord>> inForce_;
 };
 
--- a/tools/marjoramctl/entryclient.cpp
+++ b/tools/marjoramctl/entryclient.cpp
@@ -128,17 +128,11 @@
 
 auto toText(const EntryError &error) -> std::string
 {
-    auto text = error.kind_ + ": " + error.message_;
-    if (error.ran_ == "no") {
-        text += " (not run)";
-    } else if (error.ran_ == "maybe") {
-        text += " (may have run)";
-    } else {
-        text += " (ran)";
-    }
+    const auto *ran = error.ran_ == "no" ? " (not run)" : error.ran_ == "maybe" ? " (may have run)" : " (ran)";
+    auto text = error.kind_ + ran + ": " + error.message_;
     if (error.retryAfter_.count() > 0) {
         text += "; try again in " + std::to_string(error.retryAfter_.count()) + " ms";
     }
-    return printable(text);
+    return printableLines(text);
 }
 } // namespace Marjoramfold::Ctl
--- a/tools/marjoramctl/rulescommands.cpp
+++ b/tools/marjoramctl/rulescommands.cpp
@@ -1,6 +1,7 @@
 #include "commands.h"
 #include "marjoramfold/rules/rulechecker.h"
 
+#include <algorithm>
 #include <charconv>
 #include <set>
 #include <thread>
@@ -148,13 +149,9 @@
     auto writeInForce(const json &zone, const std::string &name) -> void
     {
         const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - startedAt_);
-        const auto confirmed = numberOr(zone, "confirmed_ms", -1);
-        call_.terminal_.out_ << "in force in " << name << " after ";
-        if (confirmed >= 0) {
-            call_.terminal_.out_ << confirmed << " ms\n" << std::flush;
-        } else {
-            call_.terminal_.out_ << "at most " << waited.count() << " ms\n" << std::flush;
-        }
+        // The entry tells how long ago it saw the version in force; the time before this program asked counts as 0.
+        const auto ago = numberOr(zone, "confirmed_ms", 0);
+        call_.terminal_.out_ << "in force in " << name << " after " << std::max<std::int64_t>(0, waited.count() - ago) << " ms\n" << std::flush;
     }
 
     Invocation &call_;
--- a/tools/marjoramctl/terminal.cpp
+++ b/tools/marjoramctl/terminal.cpp
@@ -90,6 +90,20 @@
     return result;
 }
 
+auto printableLines(std::string_view text) -> std::string
+{
+    std::string result;
+    while (true) {
+        const auto end = text.find('\n');
+        result += printable(text.substr(0, end));
+        if (end == std::string_view::npos) {
+            return result;
+        }
+        result += "\n  ";
+        text.remove_prefix(end + 1);
+    }
+}
+
 auto toCell(const json &value) -> std::string
 {
     if (value.is_string()) {
--- a/tools/marjoramctl/terminal.h
+++ b/tools/marjoramctl/terminal.h
@@ -34,6 +34,9 @@
 /// A JSON value as a cell of a table.
 [[nodiscard]] auto toCell(const nlohmann::json &value) -> std::string;
 
+/// As printable(), but keeps line breaks and indents what follows them.
+[[nodiscard]] auto printableLines(std::string_view text) -> std::string;
+
 /// Text for a terminal: control characters, which could change what it shows, are replaced by '?'.
 [[nodiscard]] auto printable(std::string_view text) -> std::string;
 } // namespace Marjoramfold::Ctl
