Bound the memory of incomplete frames over all connections

Cause: 64 connections of strangers could hold 64 MiB, and more connections, which 64 instances need, would have exceeded the 128 MB of a node. Change: 256 connections, 32 MiB of incomplete frames in all.

--- a/marjoramfold/membership/peerprotocol.cpp
+++ b/marjoramfold/membership/peerprotocol.cpp
@@ -21,6 +21,11 @@
     pending_.append(bytes, size);
 }
 
+auto FrameAssembler::buffered() const -> std::size_t
+{
+    return pending_.size();
+}
+
 auto FrameAssembler::next(std::string &frame) -> State
 {
     if (pending_.size() < FrameLengthBytes) {
--- a/marjoramfold/membership/peerprotocol.h
+++ b/marjoramfold/membership/peerprotocol.h
@@ -33,6 +33,9 @@
     /// Adds received bytes.
     auto append(const char *bytes, std::size_t size) -> void;
 
+    /// Bytes that wait for the rest of their frame.
+    [[nodiscard]] auto buffered() const -> std::size_t;
+
     /// Moves the next whole frame out.
     [[nodiscard]] auto next(std::string &frame) -> State;
 
--- a/marjoramfold/membership/peerserver.cpp
+++ b/marjoramfold/membership/peerserver.cpp
@@ -73,6 +73,7 @@
     PeerHandlers handlers_;
     PeerServerOptions options_;
     std::set<std::shared_ptr<Connection>> connections_;
+    std::size_t bufferedBytes_ = 0;
     bool closed_ = false;
 };
 
@@ -102,6 +103,8 @@
             std::error_code ignored;
             socket_.close(ignored);
             idleTimer_.cancel();
+            server_->bufferedBytes_ -= accounted_;
+            accounted_ = 0;
             server_->connections_.erase(shared_from_this());
         }
     }
@@ -122,6 +125,7 @@
             }
             self->assembler_.append(self->chunk_.data(), size);
             self->takeFrames();
+            self->accountBuffer();
             self->read();
         });
     }
@@ -159,6 +163,18 @@
         }
     }
 
+    auto accountBuffer() -> void
+    {
+        if (closed_) {
+            return;
+        }
+        server_->bufferedBytes_ += assembler_.buffered() - accounted_;
+        accounted_ = assembler_.buffered();
+        if (server_->bufferedBytes_ > server_->options_.maxBufferedBytes_) {
+            close();
+        }
+    }
+
     auto dispatch(OpenedMessage message) -> void
     {
         ++pending_;
@@ -235,6 +251,8 @@
     FrameAssembler assembler_;
     std::deque<std::string> outgoing_;
     std::size_t pending_ = 0;
+    /// Bytes of this connection in the server's sum.
+    std::size_t accounted_ = 0;
     bool reading_ = false;
     bool closed_ = false;
 };
--- a/marjoramfold/membership/peerserver.h
+++ b/marjoramfold/membership/peerserver.h
@@ -29,8 +29,10 @@
 
 /// Limits of the server.
 struct PeerServerOptions {
-    /// Bounds memory: each connection may hold one frame of 1 MiB.
-    std::size_t maxConnections_ = 64;
+    std::size_t maxConnections_ = 256;
+    /// Bytes of incomplete frames on all connections together; the connection that exceeds it is closed. Whoever opens connections
+    /// needs no key, so the sum must stay far below the 128 MB of a node.
+    std::size_t maxBufferedBytes_ = 32U << 20U;
     /// Requests of one connection that wait for their handlers; reading stops at this number.
     std::size_t maxPendingPerConnection_ = 64;
     /// A connection without traffic for this long is closed.
--- a/tests/contract/test_peers.cpp
+++ b/tests/contract/test_peers.cpp
@@ -11,6 +11,8 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <array>
+
 using namespace Marjoramfold;
 using namespace std::chrono_literals;
 
@@ -242,6 +244,37 @@
     }
 }
 
+SCENARIO("incomplete frames of strangers take bounded memory", "[peers]")
+{
+    asio::io_context context;
+    const auto keys = sharedKeys();
+    PeerServerOptions options;
+    options.maxBufferedBytes_ = 200'000;
+    options.maxConnections_ = 4;
+    PeerServer server(context, {InstanceId("b1"), 7}, keys, {}, options);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), server.start("127.0.0.1", 0));
+
+    // Each announces a frame of the largest size and sends half of what all together may hold.
+    std::vector<asio::ip::tcp::socket> sockets;
+    auto closed = 0;
+    std::array<char, 6> read{};
+    const std::string half = withFrameLength(std::string(MaxFrameBytes, 'x')).substr(0, 90'000);
+    for (auto i = 0; i < 6; ++i) {
+        sockets.emplace_back(context);
+        sockets.back().connect(endpoint);
+        std::error_code refused;
+        asio::write(sockets.back(), asio::buffer(half), refused);
+        sockets.back().async_read_some(asio::buffer(&read.at(static_cast<std::size_t>(i)), 1), [&closed](std::error_code error, std::size_t /*size*/) {
+            closed += error && error != asio::error::operation_aborted ? 1 : 0;
+        });
+    }
+    // Over the limit of bytes or of connections, they are closed; those within it stay.
+    REQUIRE(runUntil(context, [&] {
+        return closed == 4;
+    }));
+    REQUIRE(server.connections() == 2);
+}
+
 SCENARIO("instances find one another over UDP", "[peers]")
 {
     asio::io_context context;
