--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    g++ cmake ninja-build ccache make git
+    g++ cmake ninja-build ccache make git curl jq
     clang-format clang-tidy clang-tools
     librestinio-dev libasio-dev libfmt-dev libhttp-parser-dev
     libcurl4-openssl-dev libssl-dev
