Add the scheduler with its start and stop sequences

Other modules need a Scheduler to link against. This adds the cluster index, the guarantee ledger, the placer, the job life cycle and a bounded queue pass, with a test harness whose workers keep leases and are watched for partial gangs, double runs and overcommitted workers.

Borrowing is in; reclaim by preemption, reservations, quarantine, compaction and the availability zone change are still missing.

--- /dev/null
+++ b/marjoramfold/placement/placer.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "marjoramfold/placement/clusterstate.h"
+
+#include <functional>
+#include <optional>
+
+namespace Marjoramfold
+{
+/// Finds free workers for a gang, so that whole workers and whole racks stay free for large gangs.
+class Placer
+{
+public:
+    /// Whether a worker may be used for the gang at hand; an empty filter allows all.
+    using WorkerFilter = std::function<bool(WorkerIndex)>;
+
+    explicit Placer(const ClusterState &cluster);
+
+    /// The tightest placement found in an availability zone, or none. Does not reserve anything.
+    [[nodiscard]] auto place(const GangShape &shape, ZoneIndex zone, const WorkerFilter &allows = {}) const -> std::optional<GangPlacement>;
+
+private:
+    [[nodiscard]] auto placeOnOneWorker(const GangShape &shape, ZoneIndex zone, const WorkerFilter &allows) const -> std::optional<GangPlacement>;
+    [[nodiscard]] auto placeInOneRack(const GangShape &shape, ZoneIndex zone, const WorkerFilter &allows) const -> std::optional<GangPlacement>;
+    [[nodiscard]] auto placeAnywhere(const GangShape &shape, ZoneIndex zone, const WorkerFilter &allows) const -> std::optional<GangPlacement>;
+    [[nodiscard]] auto fillRack(const GangShape &shape, RackIndex rack, const WorkerFilter &allows) const -> std::optional<GangPlacement>;
+    auto takeCoreWorkers(const GangShape &shape, const ZoneCapacity &zone, const WorkerFilter &allows, GangPlacement &placement, int left) const -> int;
+    auto takeAcceleratorWorkers(const GangShape &shape, const ZoneCapacity &zone, const WorkerFilter &allows, GangPlacement &placement, int left) const -> int;
+
+    const ClusterState *cluster_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/estimator.cpp
@@ -0,0 +1,96 @@
+#include "marjoramfold/scheduling/estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Marjoramfold
+{
+namespace
+{
+// Variance of the logarithm of a declaration that is wrong by a factor drawn evenly in logarithm between 1/10 and 10.
+constexpr double DeclaredVariance = 1.77;
+
+// Variance assumed for the run times of one name before two runs were seen.
+constexpr double RunTimeVariance = 1.0;
+
+// Finished runs before memory is reserved below its declaration.
+constexpr int MinMemoryRuns = 3;
+
+// Memory reserved above the learned peak, in percent of it.
+constexpr std::int64_t MemoryMarginPercent = 130;
+
+constexpr double MinMilliseconds = 1.0;
+
+auto toLog(std::chrono::milliseconds time) -> double
+{
+    return std::log(std::max(static_cast<double>(time.count()), MinMilliseconds));
+}
+
+auto fromLog(double value) -> std::chrono::milliseconds
+{
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::exp(value)));
+}
+} // namespace
+
+auto Estimator::LogSeries::add(double value) -> void
+{
+    ++count_;
+    const auto distance = value - mean_;
+    mean_ += distance / count_;
+    squares_ += distance * (value - mean_);
+}
+
+// Variance of the next value: the spread seen, with the prior counted as one observation, plus the error of the mean.
+auto Estimator::LogSeries::variance(double prior) const -> double
+{
+    const auto spread = (prior + squares_) / std::max(count_, 1);
+    return spread + spread / std::max(count_, 1);
+}
+
+Estimator::Estimator(bool learns)
+    : learns_(learns)
+{
+}
+
+auto Estimator::learnRunTime(const JobSpec &spec, std::chrono::milliseconds runTime) -> void
+{
+    auto &history = histories_[{spec.team_, spec.name_}];
+    history.runTime_.add(toLog(runTime));
+    history.overDeclared_.add(toLog(runTime) - toLog(spec.declaredRunTime_));
+}
+
+auto Estimator::learnMemory(const JobSpec &spec, std::int64_t peakMb) -> void
+{
+    auto &history = histories_[{spec.team_, spec.name_}];
+    ++history.memoryRuns_;
+    history.peakMemoryMb_ = std::max(history.peakMemoryMb_, peakMb);
+}
+
+// Declarations may carry information (long runs declared longer) or not; the steadier of the two series weighs more.
+auto Estimator::runTime(const JobSpec &spec) const -> RunTimeEstimate
+{
+    const auto declared = toLog(spec.declaredRunTime_);
+    const auto found = histories_.find({spec.team_, spec.name_});
+    if (!learns_ || found == histories_.end() || found->second.runTime_.count_ == 0) {
+        return {fromLog(declared), fromLog(declared + std::sqrt(DeclaredVariance))};
+    }
+    const auto &history = found->second;
+    const auto fixedVariance = history.runTime_.variance(RunTimeVariance);
+    const auto scaledVariance = history.overDeclared_.variance(DeclaredVariance);
+    const auto fixedWeight = scaledVariance / (fixedVariance + scaledVariance);
+    const auto fixed = history.runTime_.mean_;
+    const auto scaled = declared + history.overDeclared_.mean_;
+    const auto mean = fixedWeight * fixed + (1 - fixedWeight) * scaled;
+    return {fromLog(mean), fromLog(mean + std::sqrt(std::min(fixedVariance, scaledVariance)))};
+}
+
+auto Estimator::memoryMb(const JobSpec &spec) const -> std::int64_t
+{
+    const auto declared = spec.task_.memoryMb_;
+    const auto found = histories_.find({spec.team_, spec.name_});
+    if (!learns_ || found == histories_.end() || found->second.memoryRuns_ < MinMemoryRuns) {
+        return declared;
+    }
+    return found->second.peakMemoryMb_ * MemoryMarginPercent / 100;
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/gangreservations.cpp
@@ -0,0 +1,101 @@
+#include "marjoramfold/scheduling/gangreservations.h"
+
+#include <algorithm>
+
+namespace Marjoramfold
+{
+GangReservations::GangReservations(SchedulerState &state)
+    : state_(&state)
+{
+}
+
+auto GangReservations::take(JobRecord &job, ZoneIndex zone, const GangPlacement &placement, bool guaranteed) -> void
+{
+    open(job, zone, guaranteed);
+    for (const auto &share : placement) {
+        for (auto i = 0; i < share.tasks_; ++i) {
+            takeMember(job, share.worker_);
+        }
+    }
+}
+
+auto GangReservations::takeRecovered(JobRecord &job, ZoneIndex zone, const std::vector<WorkerIndex> &workers) -> void
+{
+    open(job, zone, false);
+    for (const auto worker : workers) {
+        takeMember(job, worker);
+    }
+    promote(zone, job.spec_.team_);
+}
+
+auto GangReservations::open(JobRecord &job, ZoneIndex zone, bool guaranteed) -> void
+{
+    job.zone_ = zone;
+    job.guaranteed_ = guaranteed;
+    job.holding_ = 0;
+    job.members_.clear();
+    job.members_.reserve(static_cast<std::size_t>(job.spec_.gangSize_));
+    if (job.reserved_.accelerators_ > 0) {
+        state_->teamGangs_[job.spec_.team_].push_back(job.index_);
+    }
+}
+
+auto GangReservations::takeMember(JobRecord &job, WorkerIndex worker) -> void
+{
+    job.members_.push_back({worker, MemberState::Holding, {}, {}, std::nullopt});
+    ++job.holding_;
+    state_->cluster_.reserve(worker, job.index_, job.reserved_);
+    state_->teamUse_[job.spec_.team_] += job.reserved_.accelerators_;
+    if (job.guaranteed_) {
+        state_->ledger_.charge(job.zone_, job.spec_.team_, worker, job.reserved_.accelerators_);
+    }
+}
+
+auto GangReservations::releaseMember(JobRecord &job, std::size_t index, MemberState state) -> void
+{
+    auto &member = job.members_[index];
+    if (!member.holdsResources()) {
+        return;
+    }
+    member.state_ = state;
+    --job.holding_;
+    state_->cluster_.release(member.worker_, job.index_, job.reserved_);
+    state_->teamUse_[job.spec_.team_] -= job.reserved_.accelerators_;
+    if (job.guaranteed_) {
+        state_->ledger_.refund(job.zone_, job.spec_.team_, member.worker_, job.reserved_.accelerators_);
+    }
+    if (job.holding_ == 0 && job.reserved_.accelerators_ > 0) {
+        std::erase(state_->teamGangs_[job.spec_.team_], job.index_);
+        promote(job.zone_, job.spec_.team_);
+    }
+}
+
+auto GangReservations::promote(ZoneIndex zone, const TeamId &team) -> void
+{
+    for (const auto index : state_->teamGangs_[team]) {
+        auto &job = state_->jobs_.at(index);
+        const auto isBorrowed = job.zone_ == zone && !job.guaranteed_ && job.phase_ != GangPhase::Stopping;
+        if (isBorrowed && state_->ledger_.covers(zone, team, job.accelerators())) {
+            markGuaranteed(job);
+        }
+    }
+}
+
+// A gang that would make another team's unused shapes unformable stays borrowed, so that it can be moved out of the way.
+auto GangReservations::markGuaranteed(JobRecord &job) -> void
+{
+    GangPlacement placement;
+    for (const auto &member : job.members_) {
+        if (member.holdsResources()) {
+            placement.push_back({member.worker_, 1});
+        }
+    }
+    if (!state_->ledger_.keepsShapes(job.zone_, job.spec_.team_, placement, job.reserved_.accelerators_)) {
+        return;
+    }
+    for (const auto &share : placement) {
+        state_->ledger_.charge(job.zone_, job.spec_.team_, share.worker_, job.reserved_.accelerators_);
+    }
+    job.guaranteed_ = true;
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/gangreservations.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "marjoramfold/scheduling/schedulerstate.h"
+
+namespace Marjoramfold
+{
+/// Keeps the cluster, the guarantee ledger and the use per team in step with the members of gangs.
+class GangReservations
+{
+public:
+    explicit GangReservations(SchedulerState &state);
+
+    /// Creates and reserves the members of a gang.
+    auto take(JobRecord &job, ZoneIndex zone, const GangPlacement &placement, bool guaranteed) -> void;
+
+    /// Creates and reserves the members of a gang that was found running, in the order of their task indexes.
+    auto takeRecovered(JobRecord &job, ZoneIndex zone, const std::vector<WorkerIndex> &workers) -> void;
+
+    /// Releases one member and leaves it in the given state.
+    auto releaseMember(JobRecord &job, std::size_t index, MemberState state) -> void;
+
+    /// Marks borrowed gangs of a team as guaranteed while they fit its guarantee.
+    auto promote(ZoneIndex zone, const TeamId &team) -> void;
+
+private:
+    auto open(JobRecord &job, ZoneIndex zone, bool guaranteed) -> void;
+    auto takeMember(JobRecord &job, WorkerIndex worker) -> void;
+    auto markGuaranteed(JobRecord &job) -> void;
+
+    SchedulerState *state_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/gangstarter.cpp
@@ -0,0 +1,164 @@
+#include "marjoramfold/scheduling/gangstarter.h"
+
+#include "marjoramfold/scheduling/leasebounds.h"
+
+#include <algorithm>
+
+namespace Marjoramfold
+{
+namespace
+{
+// Time for all Hold answers. Half of the 5 s hold lease, so that a Start still finds its Hold in force.
+constexpr std::chrono::milliseconds HoldDeadline{2'500};
+
+// Time for all Start answers. Below the 3 s start lease, so that the Renew arrives before it lapses.
+constexpr std::chrono::milliseconds StartDeadline{2'000};
+
+// Time for the answers to the Renew that confirms a gang.
+constexpr std::chrono::milliseconds ConfirmDeadline{2'500};
+} // namespace
+
+GangStarter::GangStarter(SchedulerState &state, GangReservations &reservations, GangStopper &stopper)
+    : state_(&state)
+    , reservations_(&reservations)
+    , stopper_(&stopper)
+{
+}
+
+auto GangStarter::setRunningHook(RunningHook hook) -> void
+{
+    running_ = std::move(hook);
+}
+
+auto GangStarter::begin(JobRecord &job, ZoneIndex zone, const GangPlacement &placement, bool guaranteed) -> void
+{
+    reservations_->take(job, zone, placement, guaranteed);
+    job.state_ = JobState::Starting;
+    job.reason_ = "its members are being started";
+    enter(job, GangPhase::Holding, HoldDeadline);
+    sendToAll(job, TaskCommandKind::Hold, state_->options_.holdLease_);
+}
+
+auto GangStarter::onResult(JobRecord &job, std::size_t member, const TaskCommandResult &result) -> void
+{
+    if (result.error_) {
+        onFailure(job, member, result);
+        return;
+    }
+    auto &state = job.members_[member].state_;
+    if (result.kind_ == TaskCommandKind::Hold && state == MemberState::Holding) {
+        state = MemberState::Held;
+    } else if (result.kind_ == TaskCommandKind::Start && state == MemberState::Starting) {
+        state = MemberState::Started;
+    } else if (result.kind_ == TaskCommandKind::Renew && state == MemberState::Started && job.phase_ == GangPhase::Confirming) {
+        state = MemberState::Running;
+    } else {
+        return;
+    }
+    --job.unanswered_;
+    advance(job);
+}
+
+auto GangStarter::onMemberFinished(JobRecord &job, std::size_t member) -> void
+{
+    const auto state = job.members_[member].state_;
+    const auto isAwaited = state == MemberState::Starting || (state == MemberState::Started && job.phase_ == GangPhase::Confirming);
+    reservations_->releaseMember(job, member, MemberState::Ended);
+    if (isAwaited) {
+        --job.unanswered_;
+        advance(job);
+    }
+}
+
+auto GangStarter::advance(JobRecord &job) -> void
+{
+    if (job.unanswered_ > 0) {
+        return;
+    }
+    if (job.phase_ == GangPhase::Holding) {
+        startAll(job);
+    } else if (job.phase_ == GangPhase::Starting) {
+        confirmAll(job);
+    } else if (job.phase_ == GangPhase::Confirming) {
+        state_->jobs_.clearTimer(job);
+        job.phase_ = GangPhase::Running;
+        running_(job);
+    }
+}
+
+auto GangStarter::onTimer(JobRecord &job) -> void
+{
+    giveUp(job, "a worker did not answer in time while the gang was started");
+}
+
+auto GangStarter::confirmRecovered(JobRecord &job) -> void
+{
+    for (auto &member : job.members_) {
+        member.state_ = MemberState::Started;
+        // The earlier owner may have renewed the lease just before it was replaced.
+        member.lapsesBy_ = lapsesBy(state_->now_, state_->options_.runLease_);
+    }
+    job.runningSince_ = state_->now_;
+    confirmAll(job);
+}
+
+auto GangStarter::giveUp(JobRecord &job, const std::string &reason) -> void
+{
+    ++job.startFailures_;
+    stopper_->stop(job, {JobState::Waiting, reason, std::nullopt, retryDelay(state_->options_, job.startFailures_), false});
+}
+
+auto GangStarter::startAll(JobRecord &job) -> void
+{
+    if (!state_->zones_[job.zone_].mayStart()) {
+        stopper_->stop(job, {JobState::Waiting, "starts are held back in its availability zone", std::nullopt, {}, false});
+        return;
+    }
+    enter(job, GangPhase::Starting, StartDeadline);
+    job.runningSince_ = state_->now_;
+    sendToAll(job, TaskCommandKind::Start, state_->options_.startLease_);
+}
+
+auto GangStarter::confirmAll(JobRecord &job) -> void
+{
+    enter(job, GangPhase::Confirming, ConfirmDeadline);
+    sendToAll(job, TaskCommandKind::Renew, state_->options_.runLease_);
+}
+
+auto GangStarter::sendToAll(JobRecord &job, TaskCommandKind kind, std::chrono::milliseconds lease) -> void
+{
+    for (std::size_t i = 0; i < job.members_.size(); ++i) {
+        auto &member = job.members_[i];
+        // A short task may end before the rest of its gang is confirmed.
+        if (!member.holdsResources()) {
+            continue;
+        }
+        TaskCommand command;
+        command.kind_ = kind;
+        command.task_ = {job.spec_.id_, job.attempt_, static_cast<std::uint32_t>(i)};
+        command.worker_ = state_->cluster_.worker(member.worker_).info_.id_;
+        command.resources_ = job.reserved_;
+        command.lease_ = lease;
+        command.progress_ = job.progress_;
+        if (kind == TaskCommandKind::Start) {
+            member.state_ = MemberState::Starting;
+        }
+        member.lapsesBy_ = std::max(member.lapsesBy_, lapsesBy(state_->now_, lease));
+        state_->send(std::move(command));
+    }
+}
+
+auto GangStarter::enter(JobRecord &job, GangPhase phase, std::chrono::milliseconds deadline) -> void
+{
+    job.phase_ = phase;
+    job.phaseSince_ = state_->now_;
+    job.unanswered_ = job.holding_;
+    state_->jobs_.setTimer(job, state_->now_ + deadline);
+}
+
+auto GangStarter::onFailure(JobRecord &job, std::size_t member, const TaskCommandResult &result) -> void
+{
+    const auto &worker = state_->cluster_.worker(job.members_[member].worker_).info_.id_;
+    giveUp(job, "worker " + worker.value() + " failed while the gang was started: " + toString(*result.error_));
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/leasekeeper.cpp
@@ -0,0 +1,113 @@
+#include "marjoramfold/scheduling/leasekeeper.h"
+
+#include "marjoramfold/scheduling/leasebounds.h"
+
+#include <algorithm>
+
+namespace Marjoramfold
+{
+namespace
+{
+// Tasks renewed in one call. 31,000 tasks every 20 s are 1,550 a second, so a tick a second keeps up with some reserve.
+constexpr std::size_t MaxTasksPerCall = 2'000;
+
+// First renewals are spread over this many steps, so that workers whose gangs started together are not renewed together.
+constexpr WorkerIndex SpreadSteps = 16;
+
+// A renewal whose outcome is unknown is repeated after this time.
+constexpr std::chrono::milliseconds RenewRetryInterval{2'000};
+
+// Unknown outcomes in a row after which a gang is stopped: its members would drift apart in their leases.
+constexpr int MaxRenewFailures = 3;
+} // namespace
+
+LeaseKeeper::LeaseKeeper(SchedulerState &state, GangStopper &stopper)
+    : state_(&state)
+    , stopper_(&stopper)
+{
+}
+
+auto LeaseKeeper::watch(const JobRecord &job) -> void
+{
+    const auto interval = state_->options_.renewInterval_;
+    for (const auto &member : job.members_) {
+        const auto step = interval / 2 / SpreadSteps * (member.worker_ % SpreadSteps);
+        if (member.worker_ >= dueOf_.size() || !dueOf_[member.worker_]) {
+            schedule(member.worker_, state_->now_ + interval - step);
+        }
+    }
+}
+
+auto LeaseKeeper::renewDue() -> void
+{
+    std::size_t tasks = 0;
+    while (!due_.empty() && due_.begin()->first <= state_->now_ && tasks < MaxTasksPerCall) {
+        const auto worker = due_.begin()->second;
+        due_.erase(due_.begin());
+        dueOf_[worker].reset();
+        const auto renewed = renew(worker);
+        if (renewed > 0) {
+            schedule(worker, state_->now_ + state_->options_.renewInterval_);
+        }
+        tasks += renewed;
+    }
+}
+
+auto LeaseKeeper::renew(WorkerIndex worker) -> std::size_t
+{
+    RenewLeases command;
+    command.worker_ = state_->cluster_.worker(worker).info_.id_;
+    command.lease_ = state_->options_.runLease_;
+    for (const auto &[gang, tasks] : state_->cluster_.worker(worker).gangs_) {
+        auto &job = state_->jobs_.at(gang);
+        if (job.phase_ != GangPhase::Running) {
+            continue;
+        }
+        for (std::size_t i = 0; i < job.members_.size(); ++i) {
+            auto &member = job.members_[i];
+            if (member.worker_ == worker && member.holdsResources()) {
+                command.tasks_.push_back({job.spec_.id_, job.attempt_, static_cast<std::uint32_t>(i)});
+                member.lapsesBy_ = lapsesBy(state_->now_, command.lease_);
+            }
+        }
+    }
+    const auto count = command.tasks_.size();
+    if (count > 0) {
+        state_->send(std::move(command));
+    }
+    return count;
+}
+
+auto LeaseKeeper::onFailure(JobRecord &job, std::size_t member, const Error &error) -> void
+{
+    const auto worker = job.members_[member].worker_;
+    if (state_->now_ - job.lastRenewFailure_ > state_->options_.renewInterval_) {
+        job.renewFailures_ = 0;
+    }
+    job.lastRenewFailure_ = state_->now_;
+    ++job.renewFailures_;
+    const auto isUnknown = errorAnswer(error.kind_).ran_ == Ran::Maybe || error.kind_ == ErrorKind::ConnectFailed;
+    if (isUnknown && job.renewFailures_ < MaxRenewFailures) {
+        schedule(worker, state_->now_ + RenewRetryInterval);
+        return;
+    }
+    const auto &id = state_->cluster_.worker(worker).info_.id_;
+    stopper_->stop(job, {JobState::Waiting, "worker " + id.value() + " did not renew a lease: " + toString(error), std::nullopt, {}, false});
+}
+
+auto LeaseKeeper::schedule(WorkerIndex worker, SteadyTime time) -> void
+{
+    if (dueOf_.size() <= worker) {
+        dueOf_.resize(worker + 1);
+    }
+    auto &due = dueOf_[worker];
+    if (due && *due <= time) {
+        return;
+    }
+    if (due) {
+        due_.erase({*due, worker});
+    }
+    due = time;
+    due_.insert({time, worker});
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/leasekeeper.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "marjoramfold/scheduling/gangstopper.h"
+
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// Renews the leases of running gangs with one message per worker, and stops a gang as a whole when a member cannot be renewed.
+class LeaseKeeper
+{
+public:
+    LeaseKeeper(SchedulerState &state, GangStopper &stopper);
+
+    /// Makes sure that the workers of a running gang are renewed in time.
+    auto watch(const JobRecord &job) -> void;
+
+    /// Sends the renewals that are due, up to a bounded number of tasks.
+    auto renewDue() -> void;
+
+    /// Takes a failed renewal of one member of a running gang.
+    auto onFailure(JobRecord &job, std::size_t member, const Error &error) -> void;
+
+private:
+    auto schedule(WorkerIndex worker, SteadyTime time) -> void;
+    auto renew(WorkerIndex worker) -> std::size_t;
+
+    SchedulerState *state_;
+    GangStopper *stopper_;
+    std::set<std::pair<SteadyTime, WorkerIndex>> due_;
+    std::vector<std::optional<SteadyTime>> dueOf_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/scheduler.cpp
@@ -0,0 +1,184 @@
+#include "marjoramfold/scheduling/scheduler.h"
+
+#include "marjoramfold/scheduling/joblifecycle.h"
+#include "marjoramfold/scheduling/queuepass.h"
+
+namespace Marjoramfold
+{
+/// Hands each event to the parts that it concerns.
+class Scheduler::Impl
+{
+public:
+    Impl(std::vector<AvailabilityZoneId> zones, const SchedulerOptions &options)
+        : state_(std::move(zones), options)
+        , lifecycle_(state_)
+        , queuePass_(state_, lifecycle_)
+    {
+    }
+
+    auto handle(const SchedulerEvent &event, SteadyTime now) -> std::vector<SchedulerCommand>
+    {
+        state_.now_ = now;
+        std::visit(
+            [this](const auto &concrete) {
+                on(concrete);
+            },
+            event);
+        auto commands = std::move(state_.outbox_);
+        state_.outbox_.clear();
+        return commands;
+    }
+
+    [[nodiscard]] auto explain(const JobId &id) const -> std::optional<JobExplanation>;
+    [[nodiscard]] auto summarize(const AvailabilityZoneId &zone) const -> ZoneSummary;
+
+private:
+    auto on(const WorkerUp &event) -> void
+    {
+        const auto zone = state_.findZone(event.worker_.zone_);
+        if (!zone) {
+            return;
+        }
+        const auto worker = state_.cluster_.putWorker(event.worker_, *zone);
+        offer(worker);
+    }
+
+    auto on(const WorkerDown &event) -> void
+    {
+        if (const auto worker = state_.cluster_.find(event.worker_)) {
+            state_.cluster_.setUp(*worker, false);
+            offer(*worker);
+            lifecycle_.onWorkerDown(*worker);
+        }
+    }
+
+    auto on(const WorkerLeaving &event) -> void
+    {
+        if (const auto worker = state_.cluster_.find(event.worker_)) {
+            state_.cluster_.setLeaving(*worker, true);
+            offer(*worker);
+        }
+    }
+
+    auto on(const JobArrived &event) -> void
+    {
+        lifecycle_.arrive(event);
+    }
+
+    auto on(const GangRecovered &event) -> void
+    {
+        lifecycle_.recover(event);
+    }
+
+    auto on(const JobsCancelled &event) -> void
+    {
+        lifecycle_.cancel(event);
+    }
+
+    auto on(const RulesChanged &event) -> void
+    {
+        state_.rules_ = event.rules_;
+        state_.ledger_.setRules(*event.rules_);
+        for (auto &zone : state_.zones_) {
+            const auto rule = event.rules_->zones_.find(zone.id_);
+            zone.out_ = rule != event.rules_->zones_.end() && rule->second.state_ == AvailabilityZoneState::Out;
+        }
+        lifecycle_.onRulesChanged();
+    }
+
+    auto on(const StartGateChanged &event) -> void
+    {
+        if (const auto zone = state_.findZone(event.zone_)) {
+            state_.zones_[*zone].gateOpen_ = event.open_;
+        }
+    }
+
+    auto on(const TaskCommandResult &event) -> void
+    {
+        lifecycle_.onCommandResult(event);
+    }
+
+    auto on(const TaskEnded &event) -> void
+    {
+        lifecycle_.onTaskEnded(event);
+    }
+
+    auto on(const UsageReported & /*event*/) -> void {}
+
+    auto on(const ProbeResult & /*event*/) -> void {}
+
+    auto on(const Tick & /*event*/) -> void
+    {
+        lifecycle_.onTick();
+        lifecycle_.leases().renewDue();
+        queuePass_.run();
+    }
+
+    auto offer(WorkerIndex worker) -> void
+    {
+        const auto &record = state_.cluster_.worker(worker);
+        state_.ledger_.setWorker(worker, record.zone_, record.isUsable() ? record.info_.capacity_.accelerators_ : 0);
+    }
+
+    SchedulerState state_;
+    JobLifecycle lifecycle_;
+    QueuePass queuePass_;
+};
+
+auto Scheduler::Impl::explain(const JobId &id) const -> std::optional<JobExplanation>
+{
+    if (const auto *job = state_.jobs_.find(id)) {
+        JobExplanation explanation{job->state_, job->reason_, {}, {}};
+        if (job->rule_) {
+            explanation.rules_.push_back(*job->rule_);
+        }
+        return explanation;
+    }
+    if (const auto *job = lifecycle_.ended(id)) {
+        JobExplanation explanation{job->state_, job->reason_, {}, {}};
+        if (job->rule_) {
+            explanation.rules_.push_back(*job->rule_);
+        }
+        return explanation;
+    }
+    return std::nullopt;
+}
+
+auto Scheduler::Impl::summarize(const AvailabilityZoneId &zone) const -> ZoneSummary
+{
+    ZoneSummary summary;
+    summary.zone_ = zone;
+    const auto index = state_.findZone(zone);
+    if (index) {
+        summary.freeAccelerators_ = state_.cluster_.zone(*index).freeAccelerators_;
+        summary.largestFreeGang_ = summary.freeAccelerators_;
+        summary.waitingJobs_ = static_cast<int>(state_.queue_.size());
+        summary.runningTasks_ = state_.runningTasks_[*index];
+    }
+    return summary;
+}
+
+Scheduler::Scheduler(std::vector<AvailabilityZoneId> zones, SchedulerOptions options)
+    : impl_(std::make_unique<Impl>(std::move(zones), options))
+{
+}
+
+Scheduler::~Scheduler() = default;
+Scheduler::Scheduler(Scheduler &&) noexcept = default;
+auto Scheduler::operator=(Scheduler &&) noexcept -> Scheduler & = default;
+
+auto Scheduler::handle(const SchedulerEvent &event, SteadyTime now) -> std::vector<SchedulerCommand>
+{
+    return impl_->handle(event, now);
+}
+
+auto Scheduler::explain(const JobId &job) const -> std::optional<JobExplanation>
+{
+    return impl_->explain(job);
+}
+
+auto Scheduler::summarize(const AvailabilityZoneId &zone) const -> ZoneSummary
+{
+    return impl_->summarize(zone);
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/schedulerstate.cpp
@@ -0,0 +1,27 @@
+#include "marjoramfold/scheduling/schedulerstate.h"
+
+namespace Marjoramfold
+{
+SchedulerState::SchedulerState(std::vector<AvailabilityZoneId> zones, const SchedulerOptions &options)
+    : options_(options)
+    , rules_(std::make_shared<RuleSet>())
+    , cluster_(zones.size())
+    , ledger_(zones)
+    , estimator_(options.learnedEstimates_)
+    , runningTasks_(zones.size(), 0)
+{
+    for (auto &zone : zones) {
+        zones_.push_back({std::move(zone), true, false});
+    }
+}
+
+auto SchedulerState::findZone(const AvailabilityZoneId &zone) const -> std::optional<ZoneIndex>
+{
+    for (std::size_t i = 0; i < zones_.size(); ++i) {
+        if (zones_[i].id_ == zone) {
+            return static_cast<ZoneIndex>(i);
+        }
+    }
+    return std::nullopt;
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/schedulerstate.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "marjoramfold/placement/clusterstate.h"
+#include "marjoramfold/placement/guaranteeledger.h"
+#include "marjoramfold/scheduling/estimator.h"
+#include "marjoramfold/scheduling/events.h"
+#include "marjoramfold/scheduling/jobtable.h"
+#include "marjoramfold/scheduling/scheduleroptions.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// What decides whether work may start in an availability zone.
+struct ZoneControl {
+    AvailabilityZoneId id_;
+    bool gateOpen_ = true;
+    bool out_ = false;
+
+    [[nodiscard]] auto mayStart() const -> bool
+    {
+        return gateOpen_ && !out_;
+    }
+};
+
+/// State shared by the parts of the scheduler. Each part owns its own rules; this holds the facts.
+struct SchedulerState {
+    SchedulerState(std::vector<AvailabilityZoneId> zones, const SchedulerOptions &options);
+
+    SchedulerOptions options_;
+    std::vector<ZoneControl> zones_;
+    RuleSetPointer rules_;
+    ClusterState cluster_;
+    GuaranteeLedger ledger_;
+    JobTable jobs_;
+    Estimator estimator_;
+    /// Waiting jobs in the order in which they are tried.
+    std::set<QueueKey> queue_;
+    /// Accelerators in use per team, over all availability zones.
+    std::unordered_map<TeamId, int> teamUse_;
+    /// Gangs that hold accelerators, per team, in the order in which they started.
+    std::unordered_map<TeamId, std::vector<GangIndex>> teamGangs_;
+    /// Running gang members per availability zone.
+    std::vector<int> runningTasks_;
+    SteadyTime now_{};
+    std::vector<SchedulerCommand> outbox_;
+
+    /// The handle of an availability zone of this scheduler.
+    [[nodiscard]] auto findZone(const AvailabilityZoneId &zone) const -> std::optional<ZoneIndex>;
+
+    /// Adds a command to the answer of the present event.
+    template<typename Command>
+    auto send(Command command) -> void
+    {
+        outbox_.emplace_back(std::move(command));
+    }
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/tests/unit/test_scheduler.cpp
@@ -0,0 +1,99 @@
+#include "schedulerharness.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Marjoramfold;
+using namespace std::chrono_literals;
+
+SCENARIO("a job runs from its submission to its end", "[scheduler]")
+{
+    SchedulerHarness harness;
+    harness.addWorkers("a", 4, {8, 128, 500'000});
+    harness.runTimes_["j"] = 10min;
+    harness.submit(makeJob("j", 4, 8));
+    WHEN("its members hold and start")
+    {
+        harness.run(2s);
+        THEN("the whole gang runs and is reported once")
+        {
+            REQUIRE(harness.runningTasks("j") == 4);
+            REQUIRE(harness.started_["j"] == 1);
+            REQUIRE(harness.stateOf("j") == JobState::Running);
+        }
+        AND_WHEN("it runs longer than any lease")
+        {
+            harness.run(11min);
+            THEN("renewals carry it to its end")
+            {
+                REQUIRE(harness.ended_["j"].size() == 1);
+                REQUIRE(harness.ended_["j"].front().state_ == JobState::Finished);
+                REQUIRE(harness.started_["j"] == 1);
+            }
+        }
+        AND_WHEN("it is cancelled twice")
+        {
+            harness.handle(JobsCancelled{{JobId("j"), JobId("unknown")}});
+            harness.handle(JobsCancelled{{JobId("j")}});
+            harness.run(1s);
+            THEN("it ends once and its workers are free again")
+            {
+                REQUIRE(harness.ended_["j"].size() == 1);
+                REQUIRE(harness.ended_["j"].front().state_ == JobState::Cancelled);
+                REQUIRE(harness.runningAccelerators() == 0);
+                REQUIRE(harness.scheduler_->summarize(AvailabilityZoneId("a")).freeAccelerators_ == 32);
+            }
+        }
+        AND_WHEN("one of its workers is lost")
+        {
+            harness.handle(WorkerDown{WorkerId("w1")});
+            harness.run(90s);
+            THEN("the rest is stopped, and the job waits for room instead of running in part")
+            {
+                REQUIRE(harness.runningTasks("j") == 0);
+                REQUIRE(harness.stateOf("j") == JobState::Waiting);
+                REQUIRE(harness.doubleRuns_ == 0);
+            }
+        }
+    }
+}
+
+SCENARIO("jobs that can never run are answered at once", "[scheduler]")
+{
+    SchedulerHarness harness;
+    harness.addWorkers("a", 2, {8, 128, 500'000});
+    auto rules = std::make_shared<RuleSet>();
+    rules->zones_[AvailabilityZoneId("a")] = {AvailabilityZoneId("a"), AvailabilityZoneState::In, 2, 6, 8, {3, "zone line", "I. Pop"}};
+    rules->quotas_[TeamId("team")] = {TeamId("team"), 12, {7, "quota line", "M. Dan"}};
+    harness.handle(RulesChanged{rules});
+    GIVEN("a gang above its team's quota")
+    {
+        harness.submit(makeJob("j", 2, 8));
+        THEN("it is parked with the quota's line, and waits again under a larger quota")
+        {
+            REQUIRE(harness.ended_["j"].front().state_ == JobState::Parked);
+            REQUIRE(harness.ended_["j"].front().rule_->number_ == 7);
+            auto larger = std::make_shared<RuleSet>(*rules);
+            larger->quotas_[TeamId("team")].accelerators_ = 16;
+            harness.handle(RulesChanged{larger});
+            harness.run(2s);
+            REQUIRE(harness.runningTasks("j") == 2);
+        }
+    }
+    GIVEN("a gang that fits no worker")
+    {
+        harness.submit(makeJob("j", 1, 9));
+        THEN("it is parked with the line of the availability zone")
+        {
+            REQUIRE(harness.ended_["j"].front().state_ == JobState::Parked);
+            REQUIRE(harness.ended_["j"].front().rule_->number_ == 3);
+        }
+    }
+    GIVEN("a gang that is larger than any gang may be")
+    {
+        harness.submit(makeJob("j", MaxGangSize + 1, 0));
+        THEN("it ends as failed")
+        {
+            REQUIRE(harness.ended_["j"].front().state_ == JobState::Failed);
+        }
+    }
+}
