--- a/marjoramfold/core/jobjson.cpp
+++ b/marjoramfold/core/jobjson.cpp
@@ -188,6 +188,14 @@
     }
     return std::nullopt;
 }
+
+auto checkPayload(const std::string &payload) -> std::optional<JobSpecFault>
+{
+    if (payload.size() <= MaxJobPayloadBytes) {
+        return std::nullopt;
+    }
+    return JobSpecFault{"payload", "must be at most " + std::to_string(MaxJobPayloadBytes) + " bytes"};
+}
 } // namespace
 
 auto isPlainIdentifier(std::string_view text) -> bool
@@ -212,6 +220,7 @@
              checkRange("declared_run_time_ms", spec.declaredRunTime_.count(), 0, MaxTime.count()),
              checkRange("grace_ms", spec.grace_.count(), 0, MaxTime.count()),
              checkZones(spec.allowedZones_),
+             checkPayload(spec.payload_),
          }) {
         if (fault) {
             return fault;
@@ -238,6 +247,7 @@
         {"availability_zones", std::move(zones)},
         {"checkpointable", spec.checkpointable_},
         {"grace_ms", spec.grace_.count()},
+        {"payload", spec.payload_},
     };
 }
 
@@ -264,6 +274,7 @@
     readZones(reader, spec.allowedZones_);
     reader.boolean("checkpointable", spec.checkpointable_);
     reader.milliseconds("grace_ms", spec.grace_);
+    reader.text("payload", spec.payload_);
     if (!fault) {
         fault = findFault(spec);
     }
--- a/marjoramfold/core/jobjson.h
+++ b/marjoramfold/core/jobjson.h
@@ -14,6 +14,9 @@
 /// Longest identifier or name in a job, in bytes; keeps records and metric labels small.
 constexpr std::size_t MaxJobTextBytes = 128;
 
+/// Longest payload of a job, in bytes; it is part of the job's records in the log.
+constexpr std::size_t MaxJobPayloadBytes = 16'384;
+
 /// A key of a job and why its value is refused.
 struct JobSpecFault {
     /// Key as in the JSON form, for example "gang_size" or "task.cores".
@@ -30,7 +33,7 @@
 
 /// JSON form of a job as in log records and the API:
 /// {"id","team","name","gang_size","task":{"accelerators","cores","memory_mb"},"adjacency","priority",
-/// "declared_run_time_ms","availability_zones":[...],"checkpointable","grace_ms"}.
+/// "declared_run_time_ms","availability_zones":[...],"checkpointable","grace_ms","payload"}.
 [[nodiscard]] auto toJson(const JobSpec &spec) -> nlohmann::json;
 
 /// Reads the JSON form. Absent keys take the defaults of JobSpec, except for id and team, which are needed; unknown keys are
--- /dev/null
+++ b/marjoramfold/entry/instancewatcher.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "marjoramfold/log/instancelist.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace Marjoramfold
+{
+/// Fetches the platform's instance list at intervals. Control thread only.
+class InstanceWatcher
+{
+public:
+    /// The hook is called with every list that was fetched.
+    InstanceWatcher(asio::io_context &context, HttpClient &http, const std::string &address, std::function<void(const InstanceList &list)> changed);
+
+    auto start() -> void;
+
+private:
+    auto fetch() -> void;
+
+    InstanceListClient client_;
+    asio::steady_timer timer_;
+    std::function<void(const InstanceList &list)> changed_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/entry/rulescontroller.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "marjoramfold/api/controlapi.h"
+#include "marjoramfold/log/appendqueue.h"
+#include "marjoramfold/log/logfollower.h"
+#include "marjoramfold/rules/rulestore.h"
+
+#include <map>
+
+namespace Marjoramfold
+{
+/// What the rules controller needs from its instance.
+struct RulesControllerHooks {
+    /// A newer rule set is in force.
+    std::function<void(const RuleSetPointer &rules)> rulesChanged_;
+    /// Whether this instance is the one that restates the rules before retention drops them.
+    std::function<bool()> isRestater_;
+    /// A new record id.
+    std::function<RecordId()> newRecordId_;
+};
+
+/// Follows the stream `config`, keeps the rule set in force, and publishes for operators. Control thread only.
+class RulesController
+{
+public:
+    RulesController(asio::io_context &context, LogClient &log, Clock clock, std::chrono::milliseconds retention, RulesControllerHooks hooks);
+
+    auto start() -> void;
+
+    /// Publishes; answers when the outcome is known, or with an error whose kind tells whether it may take effect later.
+    auto publish(PublishCommand command, JsonCallback done) -> void;
+
+    /// Takes a newer set that a peer has in force.
+    auto adopt(Offset version, const std::string &text) -> void;
+
+    /// Gives up on publishes whose outcome did not come, and restates the rules when it is time.
+    auto tick(SteadyTime now) -> void;
+
+    [[nodiscard]] auto inForce() const -> RuleSetPointer;
+
+    /// Start of the last own read that reached the end of the stream.
+    [[nodiscard]] auto confirmedAt() const -> std::optional<SteadyTime>;
+    [[nodiscard]] auto unreachableSince() const -> std::optional<SteadyTime>;
+
+    /// {"version","text"} of the set in force.
+    [[nodiscard]] auto rulesJson() const -> Result<nlohmann::json>;
+
+    /// {"publishes":[...]} with decisions, oldest first.
+    [[nodiscard]] auto historyJson() const -> nlohmann::json;
+
+private:
+    struct PendingPublish {
+        JsonCallback done_;
+        SteadyTime deadline_;
+    };
+
+    auto handleRecords(const std::vector<FollowedRecord> &records) -> void;
+    auto handleProgress() -> void;
+    auto announceChange() -> void;
+    auto answerDecided() -> void;
+    auto finishPublish(const RecordId &id, Result<nlohmann::json> result) -> void;
+    auto restate() -> void;
+
+    Clock clock_;
+    std::chrono::milliseconds retention_;
+    RulesControllerHooks hooks_;
+    RuleStore store_;
+    AppendQueue appends_;
+    LogFollower follower_;
+    Offset announced_ = 0;
+    std::map<RecordId, PendingPublish> pending_;
+    bool restating_ = false;
+};
+} // namespace Marjoramfold
--- a/tests/unit/test_jobjson.cpp
+++ b/tests/unit/test_jobjson.cpp
@@ -19,6 +19,7 @@
     spec.allowedZones_ = {AvailabilityZoneId("cluj-a"), AvailabilityZoneId("targu-d")};
     spec.checkpointable_ = false;
     spec.grace_ = std::chrono::seconds(3);
+    spec.payload_ = R"({"image":"inserts"})";
 
     // A field that is lost on its way through the log would change the job at the next owner.
     const auto decoded = jobSpecFromJson(nlohmann::json::parse(toJson(spec).dump()));
