Add request routing, the request interface and the executor stand-in

Cause: the entry daemon needs a path from POST /v1/requests to a target and back before it can be wired.

Change: marjoramfold/routing holds the decisions as a state machine (RequestDispatcher over TargetPool, RequestQueues, RequestLedger, IntentTable, IssuedKeys) and the Router and RouterGroup that drive it on the traffic threads. marjoramfold/api has the handlers and the JSON form of errors. standin-executor and requestentry make the path runnable without a platform. The HTTP client can require an echoed header, sends bodies with PUT, and no longer lets libcurl repeat a request whose reused connection ended without an answer.

--- a/marjoramfold/http/httpclient.cpp
+++ b/marjoramfold/http/httpclient.cpp
@@ -6,6 +6,7 @@
 #include <curl/curl.h>
 
 #include <cassert>
+#include <charconv>
 #include <mutex>
 #include <unordered_map>
 #include <utility>
@@ -14,6 +15,10 @@
 {
 namespace
 {
+/// Idle connections are not reused after this time. It is below the idle timeout of our servers, so that a request is not sent
+/// on a connection that the server is about to close.
+constexpr long MaxIdleSeconds = 30;
+
 /// Initializes libcurl once in a process.
 auto initializeCurl() -> void
 {
@@ -30,8 +35,55 @@
     HttpClientResponse response_;
     std::size_t maxBodyBytes_ = 0;
     curl_slist *headers_ = nullptr;
+    /// Status of the answer whose headers are being read.
+    int headerStatus_ = 0;
+    bool echoed_ = false;
+    bool mismatched_ = false;
+    int sends_ = 0;
 };
 
+/// Reads the status from a line such as "HTTP/1.1 200 OK"; 0 for another line.
+auto statusOfLine(std::string_view line) -> int
+{
+    constexpr std::string_view Protocol = "HTTP/1.";
+    constexpr std::size_t StatusAt = 9;
+    int status = 0;
+    if (line.starts_with(Protocol) && line.size() >= StatusAt + 3) {
+        std::from_chars(line.data() + StatusAt, line.data() + StatusAt + 3, status);
+    }
+    return status;
+}
+
+/// Checks the required echo; false ends the transfer, and libcurl then closes the connection.
+auto acceptHeader(Transfer &transfer, std::string_view name, std::string_view value) -> bool
+{
+    const auto &echo = transfer.request_.echo_;
+    if (!echo || !sameHeaderName(name, echo->name_)) {
+        return true;
+    }
+    transfer.echoed_ = value == echo->value_;
+    transfer.mismatched_ = !transfer.echoed_;
+    return transfer.echoed_;
+}
+
+/// Checks at the end of the headers that the required echo came; error answers may lack it.
+auto acceptHeaderEnd(Transfer &transfer) -> bool
+{
+    constexpr int FirstFinalStatus = 200;
+    constexpr int FirstServerError = 500;
+    const auto needsEcho = transfer.request_.echo_ && transfer.headerStatus_ >= FirstFinalStatus && transfer.headerStatus_ < FirstServerError;
+    transfer.mismatched_ = needsEcho && !transfer.echoed_;
+    return !transfer.mismatched_;
+}
+
+/// Called by libcurl before it sends the request on a connection. libcurl repeats a request by itself when a reused connection
+/// ends without an answer; the server may have run the first one, so the repeat is stopped here.
+auto beforeSend(void *user, char * /*remoteAddress*/, char * /*localAddress*/, int /*remotePort*/, int /*localPort*/) -> int
+{
+    auto &transfer = *static_cast<Transfer *>(user);
+    return ++transfer.sends_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
 auto onBody(char *data, std::size_t size, std::size_t count, void *user) -> std::size_t
 {
     auto &transfer = *static_cast<Transfer *>(user);
@@ -46,6 +98,13 @@
 {
     auto &transfer = *static_cast<Transfer *>(user);
     const std::string_view line(data, size * count);
+    if (line == "\r\n") {
+        return acceptHeaderEnd(transfer) ? size * count : 0;
+    }
+    if (const auto status = statusOfLine(line); status != 0) {
+        transfer.headerStatus_ = status;
+        return size * count;
+    }
     const auto colon = line.find(':');
     if (colon == std::string_view::npos) {
         return size * count;
@@ -58,7 +117,7 @@
         value.remove_suffix(1);
     }
     transfer.response_.headers_.push_back({std::string(line.substr(0, colon)), std::string(value)});
-    return size * count;
+    return acceptHeader(transfer, line.substr(0, colon), value) ? size * count : 0;
 }
 
 /// Kind of a failed transfer; it decides whether the server may have received the request.
@@ -169,11 +228,15 @@
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
-        if (request.method_ == "POST") {
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &beforeSend);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MaxIdleSeconds);
+        if (request.method_ == "POST" || !request.body_.empty()) {
             curl_easy_setopt(easy, CURLOPT_POST, 1L);
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body_.size()));
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body_.data());
-        } else if (request.method_ != "GET") {
+        }
+        if (request.method_ != "GET" && request.method_ != "POST") {
             curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method_.c_str());
         }
         // Without this, libcurl waits for "100 Continue" before it sends larger bodies.
@@ -312,6 +375,9 @@
             transfer.response_.status_ = static_cast<int>(status);
             return std::move(transfer.response_);
         }
+        if (transfer.mismatched_) {
+            return Error{ErrorKind::AnswerMismatch, "the answer of " + transfer.request_.address_ + " belongs to another request", std::nullopt};
+        }
         const auto what = transfer.request_.method_ + " http://" + transfer.request_.address_ + transfer.request_.target_;
         return Error{failureKind(code, easy), what + ": " + curl_easy_strerror(code), std::nullopt};
     }
--- a/marjoramfold/http/httpclient.h
+++ b/marjoramfold/http/httpclient.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Marjoramfold
@@ -23,6 +24,8 @@
     std::string body_;
     /// Whole time for the exchange, connecting included.
     std::chrono::milliseconds timeout_{5'000};
+    /// A header that the answer must repeat with the same value; an answer with another one ends the request and its connection.
+    std::optional<HttpHeader> echo_ = std::nullopt;
 };
 
 /// A complete answer: its body has the length that the server announced.
@@ -44,7 +47,7 @@
 /// Asynchronous HTTP client: libcurl's multi interface driven by the caller's io_context. Not thread-safe: use one per io_context.
 ///
 /// Errors: ConnectFailed when no connection was made, so that no byte of the request was sent; Timeout or TransportFailed
-/// when bytes may have reached the server.
+/// when bytes may have reached the server; AnswerMismatch when the answer lacks the required echo. A request is sent at most once.
 class HttpClient
 {
 public:
--- /dev/null
+++ b/marjoramfold/routing/router.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "marjoramfold/routing/requestdispatcher.h"
+#include "marjoramfold/routing/targetclient.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace Marjoramfold
+{
+/// Receives what is known of a key, once.
+using KeyStatusCallback = std::function<void(KeyStatus)>;
+
+/// What a router needs from the rest of the instance. Each hook is called on the router's traffic thread, and its callback may
+/// run on any thread.
+struct RouterHooks {
+    /// Appends a key to the stream `intents` in an IntentBatch of this incarnation. Errors: LogUnavailable when nothing was
+    /// appended; any other error leaves the request waiting until its record is read or its deadline passes.
+    std::function<void(std::string key, std::function<void(Result<Success>)> done)> appendIntent_;
+    /// Sends a request on to the incarnation that owns its key.
+    std::function<void(InstanceIncarnation owner, RoutedRequest request, AnswerCallback done)> forwardRequest_;
+    /// Asks the incarnation that owns a key what it knows of it.
+    std::function<void(InstanceIncarnation owner, std::string key, KeyStatusCallback done)> forwardQuery_;
+};
+
+/// Limits of a router.
+struct RouterOptions {
+    RequestDispatcherOptions dispatcher_;
+    HttpClientOptions http_;
+    Clock clock_ = systemClock();
+    /// Part of the correlation ids, unique among the routers of an incarnation.
+    std::size_t threadIndex_ = 0;
+};
+
+/// Counts of a router that other threads may read.
+struct RouterGauges {
+    std::atomic<std::uint64_t> received_ = 0;
+    std::atomic<std::uint64_t> sent_ = 0;
+    std::atomic<std::uint64_t> retried_ = 0;
+    std::atomic<std::uint64_t> answered_ = 0;
+    std::atomic<std::uint64_t> refusedNotRun_ = 0;
+    std::atomic<std::uint64_t> maybeRan_ = 0;
+    std::atomic<std::uint64_t> joined_ = 0;
+    std::atomic<std::uint64_t> lateAnswers_ = 0;
+    std::atomic<std::uint64_t> mismatched_ = 0;
+    std::atomic<std::uint64_t> waitingCallers_ = 0;
+};
+
+/// Runs the requests of one traffic thread: drives a RequestDispatcher over a TargetClient. All calls but gauges() belong to
+/// the thread of its io_context.
+class Router
+{
+public:
+    Router(asio::io_context &context, RouterOptions options, RouterHooks hooks);
+    ~Router();
+    Router(const Router &) = delete;
+    auto operator=(const Router &) -> Router & = delete;
+
+    /// Handles a request; the callback runs on this thread, once.
+    auto submit(RoutedRequest request, AnswerCallback callback) -> void;
+
+    /// Answers what is known of a key; asks the owner of the key when that is another instance.
+    auto fetch(const std::string &key, KeyStatusCallback callback) -> void;
+
+    /// Takes a list of targets, rules, or records of the stream `intents`.
+    auto apply(RoutingEvent event) -> void;
+
+    /// Refuses new work; the callback runs when every caller was answered.
+    auto drain(std::function<void()> drained) -> void;
+
+    /// Only keys for which the filter is true have their intents kept here.
+    auto setKeyFilter(std::function<bool(const std::string &)> filter) -> void;
+
+    /// Counts for metrics, from any thread.
+    [[nodiscard]] auto gauges() const -> const RouterGauges &;
+
+    [[nodiscard]] auto context() -> asio::io_context &;
+
+private:
+    /// A request that is held until the dispatcher releases it.
+    struct OpenRequest {
+        RoutedRequest request_;
+        AnswerCallback callback_;
+    };
+
+    [[nodiscard]] auto now() const -> Moment;
+    auto handle(RoutingEvent event) -> void;
+    auto run(SendToTarget &command) -> void;
+    auto run(AppendIntent &command) -> void;
+    auto run(ForwardToInstance &command) -> void;
+    auto run(AnswerCaller &command) -> void;
+    auto run(ReleaseRequest &command) -> void;
+    auto armTimer() -> void;
+    auto publishGauges() -> void;
+    [[nodiscard]] auto nextCorrelationId() -> std::string;
+
+    asio::io_context &context_;
+    RouterOptions options_;
+    RouterHooks hooks_;
+    RequestDispatcher dispatcher_;
+    TargetClient targets_;
+    asio::steady_timer timer_;
+    std::unordered_map<RequestNumber, OpenRequest> open_;
+    RequestNumber nextNumber_ = 1;
+    std::uint64_t nextCorrelation_ = 1;
+    std::string correlationPrefix_;
+    RouterGauges gauges_;
+    std::function<void()> drained_;
+    /// Lets callbacks of hooks find out that the router is gone.
+    std::shared_ptr<Router *> alive_;
+};
+} // namespace Marjoramfold
