Make routing commands compile with clang 14

Cause: clang 14, which clang-tidy uses, has no parenthesized initialization of aggregates, so the lint failed on two files of routing.

Change: commands are made with braces and moved into the vector.

--- a/marjoramfold/routing/requestdispatcher.cpp
+++ b/marjoramfold/routing/requestdispatcher.cpp
@@ -89,8 +89,8 @@
     case LedgerState::Answered: {
         ++counters_.joined_;
         ++counters_.answered_;
-        commands_.emplace_back(std::in_place_type<AnswerCaller>, event.number_, *entry->answer_);
-        commands_.emplace_back(std::in_place_type<ReleaseRequest>, event.number_);
+        commands_.emplace_back(std::in_place_type<AnswerCaller>, AnswerCaller{event.number_, *entry->answer_});
+        commands_.emplace_back(std::in_place_type<ReleaseRequest>, ReleaseRequest{event.number_});
         return true;
     }
     case LedgerState::Unknown:
@@ -193,7 +193,7 @@
     active_.emplace(event.number_, std::move(active));
     deadlines_.add(event.number_, event.deadline_);
     ++waitingCallers_;
-    commands_.emplace_back(std::in_place_type<ForwardToInstance>, event.number_, owner, left);
+    commands_.emplace_back(std::in_place_type<ForwardToInstance>, ForwardToInstance{event.number_, owner, left});
 }
 
 auto RequestDispatcher::admit(const RequestArrived &event, KeyRight right) -> void
@@ -220,7 +220,7 @@
     ++waitingCallers_;
     if (right == KeyRight::NeedsIntent) {
         active.stage_ = Stage::AwaitingIntent;
-        commands_.emplace_back(std::in_place_type<AppendIntent>, event.number_, event.key_);
+        commands_.emplace_back(std::in_place_type<AppendIntent>, AppendIntent{event.number_, event.key_});
         return;
     }
     dispatchOrQueue(event.number_, active);
@@ -265,7 +265,7 @@
         answerWaiting(waiting, maybeRan("another instance runs the request of this key"));
         ledger_.remove(key);
         active->stage_ = Stage::Forwarded;
-        commands_.emplace_back(std::in_place_type<ForwardToInstance>, number, *owner, timeLeft(*active));
+        commands_.emplace_back(std::in_place_type<ForwardToInstance>, ForwardToInstance{number, *owner, timeLeft(*active)});
     }
 }
 
--- a/marjoramfold/routing/requestexchange.cpp
+++ b/marjoramfold/routing/requestexchange.cpp
@@ -35,7 +35,7 @@
         retryBudget_.earn();
     }
     const auto left = timeLeft(active);
-    commands_.emplace_back(std::in_place_type<SendToTarget>, number, active.target_, target->info_.address_, left, left + options_.lateWait_);
+    commands_.emplace_back(std::in_place_type<SendToTarget>, SendToTarget{number, active.target_, target->info_.address_, left, left + options_.lateWait_});
     return true;
 }
 
@@ -222,20 +222,20 @@
     } else {
         ++counters_.maybeRan_;
     }
-    commands_.emplace_back(std::in_place_type<AnswerCaller>, number, std::move(result));
+    commands_.emplace_back(std::in_place_type<AnswerCaller>, AnswerCaller{number, std::move(result)});
 }
 
 /// Answers a caller whose request was never admitted.
 auto RequestDispatcher::refuse(RequestNumber number, Error error) -> void
 {
     ++(errorAnswer(error.kind_).ran_ == Ran::No ? counters_.refusedNotRun_ : counters_.maybeRan_);
-    commands_.emplace_back(std::in_place_type<AnswerCaller>, number, std::move(error));
-    commands_.emplace_back(std::in_place_type<ReleaseRequest>, number);
+    commands_.emplace_back(std::in_place_type<AnswerCaller>, AnswerCaller{number, std::move(error)});
+    commands_.emplace_back(std::in_place_type<ReleaseRequest>, ReleaseRequest{number});
 }
 
 auto RequestDispatcher::erase(RequestNumber number) -> void
 {
     active_.erase(number);
-    commands_.emplace_back(std::in_place_type<ReleaseRequest>, number);
+    commands_.emplace_back(std::in_place_type<ReleaseRequest>, ReleaseRequest{number});
 }
 } // namespace Marjoramfold
