Rename routing events that shared a name with other modules' events

RulesChanged of routing and of scheduling, and DrainStarted of routing and of membership, were different types of one name in one namespace; a program that links them breaks the one-definition rule.

--- a/marjoramfold/routing/requestdispatcher.cpp
+++ b/marjoramfold/routing/requestdispatcher.cpp
@@ -286,7 +286,7 @@
     }
 }
 
-auto RequestDispatcher::on(RulesChanged &event) -> void
+auto RequestDispatcher::on(RoutingRulesChanged &event) -> void
 {
     rules_ = event.rules_;
     pool_.applyRules(*rules_);
@@ -299,7 +299,7 @@
     pool_.markLeaving(event.target_, now_.wall_);
 }
 
-auto RequestDispatcher::on(DrainStarted & /*event*/) -> void
+auto RequestDispatcher::on(RoutingDrainStarted & /*event*/) -> void
 {
     draining_ = true;
 }
--- a/marjoramfold/routing/requestdispatcher.h
+++ b/marjoramfold/routing/requestdispatcher.h
@@ -128,9 +128,9 @@
     auto on(IntentsRead &event) -> void;
     auto on(ForwardAnswered &event) -> void;
     auto on(TargetsChanged &event) -> void;
-    auto on(RulesChanged &event) -> void;
+    auto on(RoutingRulesChanged &event) -> void;
     auto on(TargetLeaving &event) -> void;
-    auto on(DrainStarted &event) -> void;
+    auto on(RoutingDrainStarted &event) -> void;
     auto on(RoutingTick &event) -> void;
 
     [[nodiscard]] auto tryLedger(const RequestArrived &event) -> bool;
--- a/marjoramfold/routing/router.cpp
+++ b/marjoramfold/routing/router.cpp
@@ -78,7 +78,7 @@
 auto Router::drain(std::function<void()> drained) -> void
 {
     drained_ = std::move(drained);
-    handle(DrainStarted{});
+    handle(RoutingDrainStarted{});
 }
 
 auto Router::setKeyFilter(std::function<bool(const std::string &)> filter) -> void
--- a/marjoramfold/routing/routergroup.cpp
+++ b/marjoramfold/routing/routergroup.cpp
@@ -87,7 +87,7 @@
 
 auto RouterGroup::publishRules(const RuleSetPointer &rules) -> void
 {
-    publish(RulesChanged{rules});
+    publish(RoutingRulesChanged{rules});
 }
 
 auto RouterGroup::publishIntents(const std::shared_ptr<const LogPage> &page) -> void
--- a/marjoramfold/routing/routingevents.h
+++ b/marjoramfold/routing/routingevents.h
@@ -60,7 +60,7 @@
 };
 
 /// The control thread published rules.
-struct RulesChanged {
+struct RoutingRulesChanged {
     RuleSetPointer rules_;
 };
 
@@ -70,7 +70,7 @@
 };
 
 /// The instance is shutting down: new work is refused.
-struct DrainStarted {
+struct RoutingDrainStarted {
 };
 
 /// Time passed.
@@ -84,9 +84,9 @@
                                   IntentsRead,
                                   ForwardAnswered,
                                   TargetsChanged,
-                                  RulesChanged,
+                                  RoutingRulesChanged,
                                   TargetLeaving,
-                                  DrainStarted,
+                                  RoutingDrainStarted,
                                   RoutingTick>;
 
 /// Send the request to a target.
