--- a/marjoramfold/entry/entrysettings.cpp
+++ b/marjoramfold/entry/entrysettings.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 constexpr std::int64_t MaxPort = 65'535;
+// A key id is one byte of the envelope.
+constexpr std::int64_t MaxKeyId = 255;
 // Shorter keys are open to guessing.
 constexpr std::size_t MinSecretBytes = 16;
 
@@ -122,7 +124,7 @@
 auto readKey(SettingsReader &reader, EntrySettings &settings) -> void
 {
     PeerKey key;
-    key.id_ = static_cast<std::uint32_t>(reader.number("id", 1, 1'000'000, std::nullopt));
+    key.id_ = static_cast<std::uint32_t>(reader.number("id", 1, MaxKeyId, std::nullopt));
     const auto hex = reader.text("secret");
     key.secret_ = fromHex(hex);
     if (!hex.empty() && key.secret_.size() < MinSecretBytes) {
@@ -191,7 +193,7 @@
         settings.instanceListAddress_ = reader.address("instance_list");
     });
     readTable(root, "peers", true, problems, [&](SettingsReader &reader) {
-        settings.signingKey_ = static_cast<std::uint32_t>(reader.number("signing_key", 1, 1'000'000, std::nullopt));
+        settings.signingKey_ = static_cast<std::uint32_t>(reader.number("signing_key", 1, MaxKeyId, std::nullopt));
     });
     readTable(root, "limits", false, problems, [&](SettingsReader &reader) {
         readLimits(reader, settings.limits_);
