Read intents as typed log records

Cause: the log module has IntentBatchRecord and a follower with its own notice of dropped records, so routing does not need a record format of its own.

Change: IntentTable takes pages of followed records; the intent id holds the writer's incarnation. After a gap, keys whose first record may be in the gap have no owner and are refused.

--- a/marjoramfold/routing/intenttable.cpp
+++ b/marjoramfold/routing/intenttable.cpp
@@ -3,6 +3,7 @@
 #include <openssl/sha.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cstring>
 
 namespace Marjoramfold
@@ -12,37 +13,21 @@
 constexpr auto LaterFirst = [](const auto &left, const auto &right) -> bool {
     return left.time_ > right.time_;
 };
-} // namespace
 
-auto toJson(const IntentBatch &batch) -> nlohmann::json
+/// Incarnation that an intent id names; nothing when it is no number.
+auto incarnationOf(const std::string &intentId) -> std::optional<std::uint64_t>
 {
-    return {{"id", batch.id_.value()},
-            {"type", "IntentBatch"},
-            {"instance", batch.writer_.instance_.value()},
-            {"incarnation", batch.writer_.incarnation_},
-            {"keys", batch.keys_}};
+    std::uint64_t incarnation = 0;
+    const auto *end = intentId.data() + intentId.size();
+    const auto parsed = std::from_chars(intentId.data(), end, incarnation);
+    const auto whole = !intentId.empty() && parsed.ec == std::errc() && parsed.ptr == end;
+    return whole ? std::optional(incarnation) : std::nullopt;
 }
+} // namespace
 
-auto intentBatchFromJson(const nlohmann::json &body) -> std::optional<IntentBatch>
+auto makeIntent(const std::string &key, const InstanceIncarnation &writer) -> Intent
 {
-    if (!body.is_object() || body.value("type", nlohmann::json()) != "IntentBatch") {
-        return std::nullopt;
-    }
-    const auto wellFormed = body.contains("id") && body["id"].is_string() && body.contains("instance") && body["instance"].is_string()
-        && body.contains("incarnation") && body["incarnation"].is_number_unsigned() && body.contains("keys") && body["keys"].is_array();
-    if (!wellFormed) {
-        return std::nullopt;
-    }
-    IntentBatch batch;
-    batch.id_ = RecordId(body["id"].get<std::string>());
-    batch.writer_ = {InstanceId(body["instance"].get<std::string>()), body["incarnation"].get<std::uint64_t>()};
-    for (const auto &key : body["keys"]) {
-        if (!key.is_string()) {
-            return std::nullopt;
-        }
-        batch.keys_.push_back(key.get<std::string>());
-    }
-    return batch;
+    return {key, std::to_string(writer.incarnation_)};
 }
 
 IntentTable::IntentTable(KeyWindow window)
@@ -55,17 +40,15 @@
     filter_ = std::move(filter);
 }
 
-auto IntentTable::apply(const LogPage &page, WallTime now) -> std::vector<std::string>
+auto IntentTable::apply(const IntentPage &page, WallTime now) -> std::vector<std::string>
 {
     noteCoverage(page, now);
     std::vector<std::string> named;
     for (const auto &record : page.records_) {
-        if (next_ && record.offset_ < *next_) {
-            continue;
-        }
-        next_ = record.offset_ + 1;
-        if (const auto batch = intentBatchFromJson(record.body_)) {
-            applyBatch(*batch, record.time_, named);
+        if (const auto *batch = std::get_if<IntentBatchRecord>(&record.record_)) {
+            for (const auto &intent : batch->intents_) {
+                applyIntent(intent, batch->instance_, record.time_, named);
+            }
         }
     }
     if (!page.records_.empty()) {
@@ -74,45 +57,38 @@
     return named;
 }
 
-auto IntentTable::noteCoverage(const LogPage &page, WallTime now) -> void
+auto IntentTable::noteCoverage(const IntentPage &page, WallTime now) -> void
 {
-    const auto start = page.records_.empty() ? page.end_ : page.records_.front().offset_;
-    if (next_ && start <= *next_) {
-        return;
+    if (page.begins_) {
+        // From offset 0 on, nothing was dropped. Otherwise what older records said is unknown; the first one read says how old.
+        coveredFrom_ = page.first_ == 0 ? WallTime::min() : now;
+        awaitsFirstRecord_ = page.first_ != 0;
     }
-    if (!next_ && page.first_ == 0 && start == 0) {
-        // The whole stream is read from its beginning.
-        coveredFrom_ = WallTime::min();
-    } else {
-        // Records before this page were dropped or skipped: what they said is unknown.
-        coveredFrom_ = page.records_.empty() ? now : page.records_.front().time_;
+    if (awaitsFirstRecord_ && !page.records_.empty()) {
+        coveredFrom_ = std::min(*coveredFrom_, page.records_.front().time_);
+        awaitsFirstRecord_ = false;
     }
-    next_ = start;
 }
 
-auto IntentTable::applyBatch(const IntentBatch &batch, WallTime recordTime, std::vector<std::string> &named) -> void
+auto IntentTable::applyIntent(const Intent &intent, const InstanceId &instance, WallTime recordTime, std::vector<std::string> &named) -> void
 {
-    for (const auto &key : batch.keys_) {
-        if (filter_ && !filter_(key)) {
-            continue;
-        }
-        const auto keyTime = callerKeyTime(key);
-        if (!keyTime) {
-            continue;
-        }
-        named.push_back(key);
-        // A record outside the window never owns its key, since an earlier one may be forgotten already.
-        const auto tooEarly = recordTime < *keyTime - window_.maxAhead_ - window_.clockSlop_;
-        const auto tooLate = recordTime > *keyTime + window_.maxAge_ + window_.clockSlop_;
-        if (tooEarly || tooLate) {
-            continue;
-        }
-        const auto hash = hashOf(key);
-        const auto owner = isCovered(*keyTime) ? ownerIndex(batch.writer_) : UnknownOwner;
-        if (owners_.emplace(hash, owner).second) {
-            expiries_.push_back({*keyTime + window_.maxAge_ + 2 * window_.clockSlop_, hash});
-            std::push_heap(expiries_.begin(), expiries_.end(), LaterFirst);
-        }
+    const auto keyTime = callerKeyTime(intent.key_);
+    const auto incarnation = incarnationOf(intent.intentId_);
+    if (!keyTime || !incarnation || (filter_ && !filter_(intent.key_))) {
+        return;
+    }
+    named.push_back(intent.key_);
+    // A record outside the window never owns its key, since an earlier one may be forgotten already.
+    const auto tooEarly = recordTime < *keyTime - window_.maxAhead_ - window_.clockSlop_;
+    const auto tooLate = recordTime > *keyTime + window_.maxAge_ + window_.clockSlop_;
+    if (tooEarly || tooLate) {
+        return;
+    }
+    const auto hash = hashOf(intent.key_);
+    const auto owner = isCovered(*keyTime) ? ownerIndex({instance, *incarnation}) : UnknownOwner;
+    if (owners_.emplace(hash, owner).second) {
+        expiries_.push_back({*keyTime + window_.maxAge_ + 2 * window_.clockSlop_, hash});
+        std::push_heap(expiries_.begin(), expiries_.end(), LaterFirst);
     }
 }
 
--- a/marjoramfold/routing/intenttable.h
+++ b/marjoramfold/routing/intenttable.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include "marjoramfold/log/logclient.h"
+#include "marjoramfold/log/logfollower.h"
+#include "marjoramfold/log/records.h"
 #include "marjoramfold/routing/issuedkeys.h"
 #include "marjoramfold/routing/request.h"
 
-#include <nlohmann/json.hpp>
-
 #include <array>
 #include <functional>
 #include <optional>
@@ -15,18 +14,17 @@
 
 namespace Marjoramfold
 {
-/// Record of the stream `intents`: an incarnation is about to run the requests of these keys.
-struct IntentBatch {
-    RecordId id_;
-    InstanceIncarnation writer_;
-    std::vector<std::string> keys_;
+/// Records of the stream `intents` in the order of the log, as a LogFollower reads them.
+struct IntentPage {
+    /// Reading begins, or begins again after records were dropped unread; see LogFollowerHooks::onBegin_.
+    bool begins_ = false;
+    /// When reading begins: offset of the first record that is kept.
+    Offset first_ = 0;
+    std::vector<FollowedRecord> records_;
 };
 
-/// The JSON body of an IntentBatch record.
-[[nodiscard]] auto toJson(const IntentBatch &batch) -> nlohmann::json;
-
-/// Parses a record body; nothing when it is no well-formed IntentBatch.
-[[nodiscard]] auto intentBatchFromJson(const nlohmann::json &body) -> std::optional<IntentBatch>;
+/// The intent of an incarnation to run the request of a key. The incarnation is the intent id.
+[[nodiscard]] auto makeIntent(const std::string &key, const InstanceIncarnation &writer) -> Intent;
 
 /// Times for which caller's keys are accepted and intents remembered.
 struct KeyWindow {
@@ -58,8 +56,8 @@
     /// Only keys for which the filter is true are kept: each traffic thread keeps the keys that it owns.
     auto setFilter(std::function<bool(const std::string &)> filter) -> void;
 
-    /// Applies a page of the stream. Returns the keys that were named in its records and pass the filter.
-    auto apply(const LogPage &page, WallTime now) -> std::vector<std::string>;
+    /// Applies records of the stream. Returns the keys that they name and that pass the filter.
+    auto apply(const IntentPage &page, WallTime now) -> std::vector<std::string>;
 
     /// What the log says about a key so far.
     [[nodiscard]] auto verdict(const std::string &key, WallTime keyTime) const -> IntentVerdict;
@@ -85,8 +83,8 @@
     };
 
     [[nodiscard]] static auto hashOf(const std::string &key) -> KeyHash;
-    auto noteCoverage(const LogPage &page, WallTime now) -> void;
-    auto applyBatch(const IntentBatch &batch, WallTime recordTime, std::vector<std::string> &named) -> void;
+    auto noteCoverage(const IntentPage &page, WallTime now) -> void;
+    auto applyIntent(const Intent &intent, const InstanceId &instance, WallTime recordTime, std::vector<std::string> &named) -> void;
     auto ownerIndex(const InstanceIncarnation &writer) -> std::uint32_t;
     [[nodiscard]] auto isCovered(WallTime keyTime) const -> bool;
     auto prune(WallTime logTime) -> void;
@@ -100,8 +98,9 @@
     std::vector<InstanceIncarnation> writers_;
     /// A heap with the earliest expiry in front.
     std::vector<Expiry> expiries_;
-    std::optional<Offset> next_;
-    /// Every record since this time was read; nothing before the first page.
+    /// Every record since this time was read; nothing before reading began.
     std::optional<WallTime> coveredFrom_;
+    /// The time of the next record tells how far back the records reach.
+    bool awaitsFirstRecord_ = false;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/routing/router.h
+++ b/marjoramfold/routing/router.h
@@ -20,7 +20,7 @@
 /// What a router needs from the rest of the instance. Each hook is called on the router's traffic thread, and its callback may
 /// run on any thread.
 struct RouterHooks {
-    /// Appends a key to the stream `intents` in an IntentBatch of this incarnation. Errors: LogUnavailable when nothing was
+    /// Appends makeIntent(key, self) to the stream `intents` in an IntentBatchRecord of this instance. Errors: LogUnavailable when nothing was
     /// appended; any other error leaves the request waiting until its record is read or its deadline passes.
     std::function<void(std::string key, std::function<void(Result<Success>)> done)> appendIntent_;
     /// Sends a request on to the incarnation that owns its key.
--- a/marjoramfold/routing/routergroup.cpp
+++ b/marjoramfold/routing/routergroup.cpp
@@ -90,7 +90,7 @@
     publish(RulesChanged{rules});
 }
 
-auto RouterGroup::publishIntents(const std::shared_ptr<const LogPage> &page) -> void
+auto RouterGroup::publishIntents(const std::shared_ptr<const IntentPage> &page) -> void
 {
     publish(IntentsRead{page});
 }
--- a/marjoramfold/routing/routergroup.h
+++ b/marjoramfold/routing/routergroup.h
@@ -48,8 +48,8 @@
     /// Publishes rules to all traffic threads.
     auto publishRules(const RuleSetPointer &rules) -> void;
 
-    /// Publishes a page of the stream `intents`, in the order of the log, starting with the first kept record.
-    auto publishIntents(const std::shared_ptr<const LogPage> &page) -> void;
+    /// Publishes records of the stream `intents`, in the order of the log, as its follower reads them.
+    auto publishIntents(const std::shared_ptr<const IntentPage> &page) -> void;
 
     /// Stops new work to a target, for example because a peer has a newer list.
     auto publishLeaving(const TargetId &target) -> void;
--- a/marjoramfold/routing/routingevents.h
+++ b/marjoramfold/routing/routingevents.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "marjoramfold/log/logclient.h"
+#include "marjoramfold/routing/intenttable.h"
 #include "marjoramfold/routing/issuedkeys.h"
 #include "marjoramfold/routing/request.h"
 #include "marjoramfold/routing/targetpool.h"
@@ -45,7 +45,7 @@
 
 /// Records of the stream `intents` were read.
 struct IntentsRead {
-    std::shared_ptr<const LogPage> page_;
+    std::shared_ptr<const IntentPage> page_;
 };
 
 /// The instance that a request was forwarded to answered.
