Add the experiment program with fakes, checker, scenarios and baselines

Cause: the scheduler had nothing that measures it or checks its promises. Change: an event-driven harness runs a SchedulingPolicy against fake workers and a fake log; an independent checker counts violations; first-fit and partition are the baselines.

--- /dev/null
+++ b/bench/experiment/checker.cpp
@@ -0,0 +1,319 @@
+#include "checker.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Marjoramfold
+{
+namespace
+{
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Lines kept for people.
+constexpr std::size_t MaxLines = 200;
+/// Time until a lost worker is known as lost, and the reclaim that follows.
+constexpr milliseconds LossAllowance = seconds(3) + ReclaimBound;
+
+/// Delay before the retry that follows a number of failures: 1 s doubling to 60 s.
+auto retryDelay(int failures) -> milliseconds
+{
+    constexpr int LongestExponent = 6;
+    return failures == 0 ? milliseconds(0) : milliseconds(std::min(60'000, 1'000 << std::min(failures - 1, LongestExponent)));
+}
+} // namespace
+
+Checker::Checker(const Scenario &scenario, const FakeCluster &cluster, const EventQueue &queue)
+    : scenario_(scenario)
+    , cluster_(cluster)
+    , queue_(queue)
+    , jobs_(scenario.jobs_.size())
+    , protected_(scenario.workers_.size())
+{
+    for (const auto &[id, rule] : scenario.rules_.front().rules_->zones_) {
+        zoneIndex_[id] = zones_.size();
+        zones_.emplace_back();
+    }
+    for (std::size_t i = 0; i < scenario.workers_.size(); ++i) {
+        zoneOfWorker_.push_back(zoneIndex_.at(scenario.workers_[i].zone_));
+        zones_[zoneOfWorker_.back()].workers_.push_back(i);
+    }
+    for (std::size_t i = 0; i < jobs_.size(); ++i) {
+        jobs_[i].team_ = teamIndex(scenario.jobs_[i].spec_.team_);
+    }
+    for (const auto &[team, guarantees] : scenario.rules_.front().rules_->guarantees_) {
+        static_cast<void>(teamIndex(team));
+    }
+    usedByTeam_.resize(teamIndex_.size());
+    for (auto &zone : zones_) {
+        zone.used_.resize(teamIndex_.size());
+    }
+}
+
+auto Checker::teamIndex(const TeamId &team) -> std::size_t
+{
+    return teamIndex_.try_emplace(team, teamIndex_.size()).first->second;
+}
+
+auto Checker::rulesInForce(RuleSetPointer rules) -> void
+{
+    for (auto &[id, index] : zoneIndex_) {
+        auto &zone = zones_[index];
+        const auto in = rules->zones_.at(id).state_ == AvailabilityZoneState::In;
+        zone.outSince_ = zone.in_ && !in ? queue_.now() : zone.outSince_;
+        zone.in_ = in;
+        zone.broken_ = false;
+        zone.guarantees_.assign(teamIndex_.size(), Guarantee{});
+    }
+    for (const auto &[team, guarantees] : rules->guarantees_) {
+        for (const auto &[zone, rule] : guarantees) {
+            zones_[zoneIndex_.at(zone)].guarantees_[teamIndex_.at(team)] = {rule.accelerators_, rule.perWorker_};
+        }
+    }
+    quotas_.assign(teamIndex_.size(), std::numeric_limits<int>::max());
+    for (const auto &[team, rule] : rules->quotas_) {
+        if (const auto found = teamIndex_.find(team); found != teamIndex_.end()) {
+            quotas_[found->second] = rule.accelerators_;
+        }
+    }
+    // A policy learns of new rules and starts what they allow within the reclaim bound.
+    for (const auto job : waiting_) {
+        jobs_[job].coveredSince_.reset();
+    }
+}
+
+auto Checker::jobSubmitted(std::size_t job) -> void
+{
+    const auto kind = scenario_.jobs_[job].kind_;
+    if (kind != PlannedJobKind::Impossible && kind != PlannedJobKind::Crashing) {
+        jobs_[job].waiting_ = true;
+        waiting_.insert(job);
+    }
+}
+
+auto Checker::jobsCancelled(const std::vector<std::size_t> &jobs) -> void
+{
+    for (const auto job : jobs) {
+        jobs_[job].waiting_ = false;
+        waiting_.erase(job);
+    }
+}
+
+auto Checker::report(ViolationKind kind, const std::string &text) -> void
+{
+    ++violations_.counts_[kind];
+    if (violations_.lines_.size() < MaxLines) {
+        const auto time = std::chrono::duration<double>(queue_.now() - SteadyTime{}).count();
+        violations_.lines_.push_back("t=" + std::to_string(time) + " " + text);
+    }
+}
+
+auto Checker::taskChanged(const FakeTask &task, const FakeAttempt &attempt) -> void
+{
+    const auto zoneNumber = zoneOfWorker_[task.worker_];
+    auto &zone = zones_[zoneNumber];
+    const auto team = jobs_[task.job_].team_;
+    const GangKey key{task.job_, attempt.number_};
+    if (task.state_ == FakeTaskState::Held) {
+        auto found = gangs_.find(key);
+        if (found == gangs_.end()) {
+            Gang gang;
+            const auto accelerators = scenario_.jobs_[task.job_].accelerators();
+            gang.withinGuarantee_ = zone.used_[team] + accelerators <= zone.guarantees_[team].accelerators_;
+            found = gangs_.emplace(key, gang).first;
+            waiting_.erase(task.job_);
+        }
+        zone.used_[team] += task.resources_.accelerators_;
+        usedByTeam_[team] += task.resources_.accelerators_;
+        protected_[task.worker_] += found->second.withinGuarantee_ ? task.resources_.accelerators_ : 0;
+        zone.placed_ = true;
+    }
+    checkPartial(task, attempt);
+}
+
+auto Checker::taskStarted(const FakeTask &task) -> void
+{
+    const auto &zone = zones_[zoneOfWorker_[task.worker_]];
+    if (!zone.in_ && queue_.now() - zone.outSince_ > OutZoneBound) {
+        report(ViolationKind::StartInOutZone, "start_in_out_zone task=" + toString(task.id_));
+    }
+    const auto &job = cluster_.jobs()[task.job_];
+    auto twice = job.finished_.has_value();
+    for (const auto &[number, attempt] : job.attempts_) {
+        twice = twice || (number != task.id_.attempt_ && attempt.computing_ > 0);
+    }
+    auto &gang = gangs_.at({task.job_, task.id_.attempt_});
+    if (twice && !gang.doubleCounted_) {
+        gang.doubleCounted_ = true;
+        report(ViolationKind::DoubleRun, "double_run task=" + toString(task.id_));
+    }
+}
+
+auto Checker::taskGone(const FakeTask &task, const FakeAttempt &attempt) -> void
+{
+    auto &zone = zones_[zoneOfWorker_[task.worker_]];
+    const auto team = jobs_[task.job_].team_;
+    zone.used_[team] -= task.resources_.accelerators_;
+    usedByTeam_[team] -= task.resources_.accelerators_;
+    if (gangs_.at({task.job_, attempt.number_}).withinGuarantee_) {
+        protected_[task.worker_] -= task.resources_.accelerators_;
+    }
+    checkPartial(task, attempt);
+}
+
+auto Checker::attemptClosed(std::size_t job, const FakeAttempt &attempt) -> void
+{
+    const auto found = gangs_.find({job, attempt.number_});
+    if (found != gangs_.end()) {
+        endPartial(found->first, found->second);
+        gangs_.erase(found);
+    }
+    if (jobs_[job].waiting_ && !cluster_.jobs()[job].finished_) {
+        jobs_[job].coveredSince_.reset();
+        jobs_[job].counted_ = false;
+        waiting_.insert(job);
+    }
+}
+
+auto Checker::workerChanged(std::size_t worker) -> void
+{
+    auto &zone = zones_[zoneOfWorker_[worker]];
+    zone.lostWorkers_ += cluster_.workers()[worker].lost_ ? 1 : -1;
+    zone.lastLoss_ = queue_.now();
+}
+
+auto Checker::checkPartial(const FakeTask &task, const FakeAttempt &attempt) -> void
+{
+    const GangKey key{task.job_, attempt.number_};
+    auto &gang = gangs_.at(key);
+    const auto partial = attempt.computing_ > 0 && attempt.computing_ + attempt.finished_ < scenario_.jobs_[task.job_].spec_.gangSize_;
+    if (partial && !gang.partialSince_) {
+        gang.partialSince_ = queue_.now();
+    }
+    if (!partial) {
+        endPartial(key, gang);
+    }
+}
+
+auto Checker::endPartial(const GangKey &key, Gang &gang) -> void
+{
+    if (gang.partialSince_ && queue_.now() - *gang.partialSince_ > PartialGangBound) {
+        const auto &id = scenario_.jobs_[key.first].spec_.id_;
+        report(ViolationKind::PartialGang, "partial_gang job=" + id.value() + " attempt=" + std::to_string(key.second));
+    }
+    gang.partialSince_.reset();
+}
+
+auto Checker::workersDisturbed(const Zone &zone) const -> bool
+{
+    return zone.lostWorkers_ > 0 || (zone.lastLoss_ != SteadyTime::min() && queue_.now() - zone.lastLoss_ < LossAllowance);
+}
+
+auto Checker::tasksPerShape(const JobSpec &spec, const Guarantee &guarantee) const -> int
+{
+    // A shape brings its accelerators' share of the worker's cores and memory along.
+    const auto &capacity = scenario_.workers_.front().capacity_;
+    const auto share = [&](std::int64_t whole) {
+        return whole * guarantee.perWorker_ / std::max(1, capacity.accelerators_);
+    };
+    const auto fit = [](std::int64_t have, std::int64_t need) {
+        return need == 0 ? std::numeric_limits<std::int64_t>::max() : have / need;
+    };
+    const auto tasks = std::min({fit(guarantee.perWorker_, spec.task_.accelerators_),
+                                 fit(share(capacity.cores_), spec.task_.cores_),
+                                 fit(share(capacity.memoryMb_), spec.task_.memoryMb_)});
+    return static_cast<int>(std::min<std::int64_t>(tasks, spec.gangSize_));
+}
+
+auto Checker::isCovered(std::size_t job) const -> bool
+{
+    const auto &planned = scenario_.jobs_[job];
+    const auto team = jobs_[job].team_;
+    const auto &spec = planned.spec_;
+    // Guarantees are in accelerators, and no guarantee promises that shapes lie in one rack.
+    if (spec.task_.accelerators_ == 0 || spec.adjacency_ == Adjacency::Rack || usedByTeam_[team] + planned.accelerators() > quotas_[team]) {
+        return false;
+    }
+    for (const auto &[id, index] : zoneIndex_) {
+        const auto &zone = zones_[index];
+        const auto &guarantee = zone.guarantees_[team];
+        const auto allowed = spec.allowedZones_.empty() || std::find(spec.allowedZones_.begin(), spec.allowedZones_.end(), id) != spec.allowedZones_.end();
+        const auto shapes = (guarantee.accelerators_ - zone.used_[team]) / guarantee.perWorker_;
+        if (!zone.in_ || !allowed || shapes <= 0 || workersDisturbed(zone)) {
+            continue;
+        }
+        const auto perShape = tasksPerShape(spec, guarantee);
+        const auto usableShapes = spec.adjacency_ == Adjacency::Worker ? 1 : shapes;
+        if (perShape * usableShapes >= spec.gangSize_) {
+            return true;
+        }
+    }
+    return false;
+}
+
+auto Checker::tick() -> void
+{
+    for (const auto index : waiting_) {
+        auto &job = jobs_[index];
+        if (!isCovered(index)) {
+            job.coveredSince_.reset();
+            continue;
+        }
+        job.coveredSince_ = job.coveredSince_.value_or(queue_.now());
+        const auto bound = ReclaimBound + retryDelay(cluster_.jobs()[index].failures_);
+        if (!job.counted_ && queue_.now() - *job.coveredSince_ > bound) {
+            job.counted_ = true;
+            report(ViolationKind::Guarantee, "guarantee job=" + scenario_.jobs_[index].spec_.id_.value() + " waits within its team's unused guarantee");
+        }
+    }
+}
+
+auto Checker::decisionCarriedOut() -> void
+{
+    for (const auto &[id, index] : zoneIndex_) {
+        auto &zone = zones_[index];
+        if (!zone.placed_ || !zone.in_ || workersDisturbed(zone)) {
+            continue;
+        }
+        zone.placed_ = false;
+        const auto broken = !canFormGuarantees(zone);
+        if (broken && !zone.broken_) {
+            report(ViolationKind::Guarantee, "guarantee zone=" + id.value() + " unused shapes cannot be formed");
+        }
+        zone.broken_ = broken;
+    }
+}
+
+auto Checker::canFormGuarantees(const Zone &zone) const -> bool
+{
+    // Unused shapes by size. Sizes that divide each other can be packed from the largest to the smallest without loss.
+    std::map<int, int, std::greater<>> shapes;
+    for (std::size_t team = 0; team < zone.guarantees_.size(); ++team) {
+        const auto &guarantee = zone.guarantees_[team];
+        const auto unused = (guarantee.accelerators_ - zone.used_[team]) / guarantee.perWorker_;
+        if (unused > 0) {
+            shapes[guarantee.perWorker_] += unused;
+        }
+    }
+    auto neededAccelerators = 0;
+    for (const auto &[size, count] : shapes) {
+        neededAccelerators += size * count;
+        auto slots = 0;
+        for (const auto worker : zone.workers_) {
+            slots += (scenario_.workers_[worker].capacity_.accelerators_ - protected_[worker]) / size;
+        }
+        // Larger shapes take their accelerators in multiples of this size.
+        if (slots * size < neededAccelerators) {
+            return false;
+        }
+    }
+    return true;
+}
+
+auto Checker::finish() -> void
+{
+    for (auto &[key, gang] : gangs_) {
+        endPartial(key, gang);
+    }
+}
+} // namespace Marjoramfold
