--- a/bench/experiment/baselineplacement.h
+++ b/bench/experiment/baselineplacement.h
@@ -86,6 +86,9 @@
 
     auto shareOut() -> void;
     [[nodiscard]] auto search(const Search &search) const -> std::optional<std::vector<std::size_t>>;
+    [[nodiscard]] auto searchZones(const Search &search, const std::map<AvailabilityZoneId, std::vector<std::size_t>> &zones) const
+        -> std::optional<std::vector<std::size_t>>;
+    [[nodiscard]] auto isAllowed(const Search &search, const AvailabilityZoneId &zone) const -> bool;
     /// Places all tasks on some workers in order; empty when they do not fit.
     [[nodiscard]] auto fill(const Search &search, const std::vector<std::size_t> &workers) const -> std::vector<std::size_t>;
     [[nodiscard]] auto tasksThatFit(const Search &search, std::size_t worker) const -> int;
--- a/bench/experiment/baselinepolicy.h
+++ b/bench/experiment/baselinepolicy.h
@@ -86,6 +86,7 @@
     auto enqueue(Job &job) -> void;
     auto placeWaiting() -> void;
     auto tryStart(Job &job) -> bool;
+    auto isLikeBlocked(const Job &job, const std::vector<const Job *> &blocked) const -> bool;
     auto mayRun(const Job &job) const -> bool;
     auto startAll(Job &job) -> void;
     auto confirm(Job &job) -> void;
@@ -109,6 +110,8 @@
     std::map<QueueKey, JobId> queue_;
     std::map<TeamId, int> used_;
     std::unordered_map<std::size_t, Failures> workerFailures_;
+    /// End of the first backoff of a waiting job.
+    SteadyTime nextBackoff_ = SteadyTime::max();
     /// Gangs on each worker.
     std::vector<std::set<JobId>> gangsOn_;
     std::uint64_t nextOrder_ = 0;
--- a/bench/experiment/harness.cpp
+++ b/bench/experiment/harness.cpp
@@ -210,6 +210,24 @@
         return done_;
     }
 
+    [[nodiscard]] auto unfinished() const -> std::vector<std::string>
+    {
+        std::vector<std::string> lines;
+        for (std::size_t i = 0; i < scenario_.jobs_.size(); ++i) {
+            const auto &job = scenario_.jobs_[i];
+            if (job.kind_ == PlannedJobKind::Normal && !cluster_.jobs()[i].finished_) {
+                lines.push_back("unfinished job=" + job.spec_.id_.value() + " tasks=" + std::to_string(job.spec_.gangSize_)
+                                + " accelerators=" + std::to_string(job.spec_.task_.accelerators_) + " adjacency=" + std::string(toString(job.spec_.adjacency_))
+                                + " zones=" + std::to_string(job.spec_.allowedZones_.size())
+                                + " submitted_s=" + std::to_string(std::chrono::duration_cast<seconds>(job.submitted_ - SteadyTime{}).count())
+                                + " run_s=" + std::to_string(std::chrono::duration_cast<seconds>(job.trueRunTime_).count())
+                                + " saved_s=" + std::to_string(std::chrono::duration_cast<seconds>(cluster_.jobs()[i].saved_).count())
+                                + " attempts=" + std::to_string(cluster_.jobs()[i].attempts_.size()));
+            }
+        }
+        return lines;
+    }
+
     auto result() -> RunResult
     {
         constexpr double BytesPerMb = 1'000'000;
@@ -224,6 +242,7 @@
         result.decisions_.placing_ = distributionOf(std::move(placingTimes_));
         result.peakMemoryMb_ = static_cast<double>(policyMemory().peakBytes_ - memoryBefore_) / BytesPerMb;
         result.records_ = records_;
+        result.unfinished_ = unfinished();
         result.inventedProgress_ = cluster_.inventedProgress();
         result.endedAt_ = std::chrono::duration<double>(queue_.now() - SteadyTime{}).count();
         return result;
--- a/bench/experiment/harness.h
+++ b/bench/experiment/harness.h
@@ -34,6 +34,8 @@
     /// Records that the policy wrote to the fake log, by kind.
     std::map<std::string, int> records_;
     int inventedProgress_ = 0;
+    /// Compared jobs that did not finish, one line each.
+    std::vector<std::string> unfinished_;
     /// Simulated end of the run, in seconds.
     double endedAt_ = 0;
 };
--- a/bench/experiment/workload.cpp
+++ b/bench/experiment/workload.cpp
@@ -101,7 +101,10 @@
             spec.adjacency_ = spec.gangSize_ <= 5 && random_.chance(0.3) ? Adjacency::Rack : Adjacency::None;
             break;
         }
-        spec.task_ = {perTask, CoresPerAccelerator * perTask, static_cast<std::int64_t>(random_.logUniform(0.2, 0.9) * MemoryPerAcceleratorMb * perTask)};
+        // Declared memory is a whole number of GB per accelerator.
+        constexpr std::int64_t Step = 1'000;
+        const auto memory = static_cast<std::int64_t>(random_.logUniform(0.2, 0.9) * MemoryPerAcceleratorMb) / Step * Step;
+        spec.task_ = {perTask, CoresPerAccelerator * perTask, memory * perTask};
     }
 
     auto makeJob(Size size, SteadyTime submitted) -> PlannedJob
@@ -119,6 +122,7 @@
         job.spec_.name_ = std::string(size == Size::Small ? "proof" : size == Size::Medium ? "render" : "train") + std::to_string(name);
         shape(job.spec_, size);
         job.trueRunTime_ = milliseconds(static_cast<std::int64_t>(typical * random_.logUniform(0.8, 1.25) * 60'000));
+        job.trueRunTime_ = std::min<milliseconds>(job.trueRunTime_, plan_.longest_);
         // Declared run times and memory are wrong by up to 10x either way.
         job.spec_.declaredRunTime_ = milliseconds(static_cast<std::int64_t>(static_cast<double>(job.trueRunTime_.count()) * random_.logUniform(0.1, 10)));
         const auto wrong = random_.chance(0.1) ? random_.logUniform(1, 10) : random_.logUniform(0.1, 1);
--- a/bench/experiment/workload.h
+++ b/bench/experiment/workload.h
@@ -53,6 +53,8 @@
     int largest_ = 64;
     /// Typical run times of small, medium and large jobs.
     std::array<std::chrono::minutes, 3> typical_{std::chrono::minutes(15), std::chrono::minutes(30), std::chrono::minutes(45)};
+    /// Longest run time, so that a job of the last hour can finish before the run ends.
+    std::chrono::minutes longest_{std::chrono::minutes(210)};
     /// Jobs of a burst of small and of large jobs, and of a cancellation wave.
     int burstSmall_ = 120;
     int burstLarge_ = 6;
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -9,7 +9,7 @@
 DEFINE_uint64(seed, 1, "seed of the workload");
 DEFINE_double(scale, 1.0, "size of design-size over the two-year plan");
 DEFINE_bool(json, false, "print one JSON object in one line");
-DEFINE_bool(violations, false, "list violations on standard error");
+DEFINE_bool(violations, false, "list violations and unfinished jobs on standard error");
 
 auto main(int argc, char **argv) -> int
 {
@@ -32,6 +32,9 @@
         for (const auto &line : result.violations_.lines_) {
             std::cerr << line << '\n';
         }
+        for (const auto &line : result.unfinished_) {
+            std::cerr << line << '\n';
+        }
     }
     return 0;
 }
