--- /dev/null
+++ b/marjoramfold/entry/controlplane.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "marjoramfold/api/controlapi.h"
+#include "marjoramfold/entry/entrysettings.h"
+#include "marjoramfold/entry/freshnessgate.h"
+#include "marjoramfold/entry/instancewatcher.h"
+#include "marjoramfold/entry/intentscontroller.h"
+#include "marjoramfold/entry/joblog.h"
+#include "marjoramfold/entry/peercontroller.h"
+#include "marjoramfold/entry/rulescontroller.h"
+#include "marjoramfold/entry/zonescontroller.h"
+#include "marjoramfold/http/httpclient.h"
+#include "marjoramfold/log/httplogclient.h"
+#include "marjoramfold/observability/metrics.h"
+#include "marjoramfold/observability/tracer.h"
+#include "marjoramfold/routing/routergroup.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <set>
+
+namespace Marjoramfold
+{
+/// What the control plane tells the traffic threads.
+struct ControlPlaneHooks {
+    std::function<void(const RuleSetPointer &rules)> publishRules_;
+    std::function<void(const TargetListPointer &targets)> publishTargets_;
+    std::function<void(const std::shared_ptr<const IntentPage> &page)> publishIntents_;
+    std::function<void(const TargetId &target)> publishLeaving_;
+    /// Runs a request or a query of a key that a peer sent on.
+    std::function<void(RoutedRequest request, AnswerCallback done)> runForwarded_;
+    std::function<void(std::string key, KeyStatusCallback done)> queryForwarded_;
+};
+
+/// All control state of an entry instance, on one thread: rules, jobs, ownership, membership.
+class ControlPlane
+{
+public:
+    ControlPlane(asio::io_context &context, const EntrySettings &settings, Incarnation incarnation, MetricsRegistry &metrics, Tracer &tracer);
+    ~ControlPlane();
+
+    /// Sets the hooks and starts. Throws std::system_error when the peer port is taken.
+    auto start(ControlPlaneHooks hooks) -> void;
+
+    /// Gives up all availability zones; the callback runs when that is recorded, or after a time.
+    auto drain(std::function<void()> drained) -> void;
+
+    /// Tells the peers that this instance stops.
+    auto leave() -> void;
+
+    /// Handlers of the control API; they may be called from any thread.
+    [[nodiscard]] auto commands() -> ControlCommands;
+    [[nodiscard]] auto queries() -> ControlQueries;
+
+    /// Hooks of the routers; they may be called from any thread.
+    [[nodiscard]] auto routerHooks() -> RouterHooks;
+
+private:
+    friend class ControlViews;
+
+    auto scheduleTick() -> void;
+    auto tick() -> void;
+    auto checkDrained(SteadyTime now) -> void;
+    auto handleInstances(const InstanceList &list) -> void;
+    auto handleForward(ForwardRequest request, std::function<void(Result<ForwardReply>)> done) -> void;
+    auto submitJob(const JobSpec &spec, const JsonCallback &done) -> void;
+    auto forwardRequest(const InstanceIncarnation &owner, const RoutedRequest &request, AnswerCallback done) -> void;
+    auto forwardQuery(const InstanceIncarnation &owner, const std::string &key, KeyStatusCallback done) -> void;
+    auto explainJob(const JobId &job, const JsonCallback &done) -> void;
+    auto traceJob(const JobId &job, const std::string &event) -> void;
+    auto updateGate(SteadyTime now) -> void;
+    auto updateMetrics() -> void;
+    [[nodiscard]] auto localState(SteadyTime now) -> NodeState;
+    [[nodiscard]] auto candidates() const -> std::vector<OwnershipCandidate>;
+    [[nodiscard]] auto confirmedDead() const -> std::set<InstanceId>;
+    [[nodiscard]] auto isLowestInstance() const -> bool;
+    [[nodiscard]] auto newRecordId() -> RecordId;
+
+    /// Runs a call on the control thread.
+    auto post(std::function<void()> call) -> void;
+
+    asio::io_context &context_;
+    EntrySettings settings_;
+    Incarnation incarnation_;
+    MetricsRegistry &metrics_;
+    Tracer &tracer_;
+    ControlPlaneHooks hooks_;
+    HttpClient http_;
+    HttpLogClient log_;
+    WorkerClient workers_;
+    PeerController peers_;
+    RulesController rules_;
+    JobLog jobs_;
+    ZonesController zones_;
+    IntentsController intents_;
+    InstanceWatcher instances_;
+    asio::steady_timer timer_;
+    GateDecision gate_;
+    std::set<TargetId> leavingTargets_;
+    std::uint64_t recordCounter_ = 0;
+    bool draining_ = false;
+    std::function<void()> drained_;
+    SteadyTime drainDeadline_{};
+    SteadyTime nextMetrics_{};
+};
+}
--- /dev/null
+++ b/marjoramfold/entry/controlviews.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "marjoramfold/entry/controlplane.h"
+
+namespace Marjoramfold
+{
+/// JSON documents about the control state, for the queries of the control API. Control thread only.
+class ControlViews
+{
+public:
+    explicit ControlViews(const ControlPlane &control);
+
+    /// Versions in force per availability zone: {"version","zones":[{"availability_zone","in_force","confirmed_ms","unconfirmed"}]}.
+    [[nodiscard]] auto rulesInForce(Offset version) const -> Result<nlohmann::json>;
+
+    [[nodiscard]] auto jobs() const -> nlohmann::json;
+    [[nodiscard]] auto job(const JobId &job) const -> Result<nlohmann::json>;
+
+    /// Explanation of a job by the scheduler of this instance; empty when this instance does not schedule the job's zone.
+    [[nodiscard]] auto explainJobHere(const JobId &job) const -> std::optional<nlohmann::json>;
+
+    [[nodiscard]] auto explainTeam(const TeamId &team) const -> Result<nlohmann::json>;
+    [[nodiscard]] auto explainZone(const AvailabilityZoneId &zone) const -> Result<nlohmann::json>;
+    [[nodiscard]] auto status() const -> nlohmann::json;
+    [[nodiscard]] auto ready() const -> Result<nlohmann::json>;
+
+private:
+    [[nodiscard]] auto zoneStatus(const AvailabilityZoneRule &rule) const -> nlohmann::json;
+
+    const ControlPlane &control_;
+};
+}
--- a/marjoramfold/entry/entrysettings.h
+++ b/marjoramfold/entry/entrysettings.h
@@ -45,6 +45,8 @@
     /// HOST:PORT of the platform's log and of its instance list.
     std::string logAddress_;
     std::string instanceListAddress_;
+    /// How long the log keeps records; live state is appended again well before.
+    std::chrono::milliseconds logRetention_{std::chrono::hours(24)};
     std::vector<PeerSeed> peers_;
     std::vector<PeerKey> keys_;
     std::uint32_t signingKey_ = 0;
--- /dev/null
+++ b/marjoramfold/entry/intentscontroller.cpp
@@ -0,0 +1,104 @@
+#include "marjoramfold/entry/intentscontroller.h"
+
+#include <asio/post.hpp>
+
+#include <utility>
+
+namespace Marjoramfold
+{
+namespace
+{
+// A caller waits for its intent, so it is given up long before usual deadlines.
+constexpr std::chrono::milliseconds IntentTimeout{2'000};
+
+// Requests wait for the record to be read back, so the follower's polls must be held open by the log.
+constexpr std::chrono::milliseconds FollowWait{5'000};
+
+// Intents in one record. All that arrive in one turn of the loop share a record.
+constexpr std::size_t MaxIntentsInRecord = 256;
+
+auto appendOptions() -> AppendQueueOptions
+{
+    AppendQueueOptions options;
+    options.stream_ = LogStream::Intents;
+    return options;
+}
+
+auto followerOptions() -> LogFollowerOptions
+{
+    LogFollowerOptions options;
+    options.stream_ = LogStream::Intents;
+    options.wait_ = FollowWait;
+    return options;
+}
+} // namespace
+
+IntentsController::IntentsController(asio::io_context &context, LogClient &log, Clock clock, InstanceIncarnation self, IntentsControllerHooks hooks)
+    : context_(context)
+    , self_(std::move(self))
+    , hooks_(std::move(hooks))
+    , appends_(context, log, clock, appendOptions())
+    , follower_(context,
+                log,
+                clock,
+                followerOptions(),
+                {[this](Offset first) {
+                     // Told at once, so that keys are decided even while the stream is empty.
+                     auto page = std::make_shared<IntentPage>();
+                     page->begins_ = true;
+                     page->first_ = first;
+                     hooks_.pageRead_(page);
+                 },
+                 [this](const std::vector<FollowedRecord> &records) {
+                     auto page = std::make_shared<IntentPage>();
+                     page->records_ = records;
+                     hooks_.pageRead_(page);
+                 },
+                 [] {}})
+{
+}
+
+auto IntentsController::start() -> void
+{
+    follower_.start();
+}
+
+auto IntentsController::append(const std::string &key, std::function<void(Result<Success>)> done) -> void
+{
+    waiting_.push_back({makeIntent(key, self_), std::move(done)});
+    if (waiting_.size() == 1) {
+        asio::post(context_, [this] {
+            flush();
+        });
+    }
+}
+
+auto IntentsController::flush() -> void
+{
+    while (!waiting_.empty()) {
+        const auto count = std::min(waiting_.size(), MaxIntentsInRecord);
+        IntentBatchRecord record{hooks_.newRecordId_(), self_.instance_, {}};
+        std::vector<std::function<void(Result<Success>)>> callbacks;
+        for (std::size_t i = 0; i < count; ++i) {
+            record.intents_.push_back(std::move(waiting_[i].intent_));
+            callbacks.push_back(std::move(waiting_[i].done_));
+        }
+        waiting_.erase(waiting_.begin(), waiting_.begin() + static_cast<std::ptrdiff_t>(count));
+        appends_.append(record, IntentTimeout, [callbacks = std::move(callbacks), isAnswered = false](const AppendReport &report) mutable {
+            // An unknown outcome is reported once; its final outcome is read back from the log.
+            if (std::exchange(isAnswered, true)) {
+                return;
+            }
+            Result<Success> result = Success();
+            if (report.outcome_ == AppendOutcome::NotAppended) {
+                result = Error{ErrorKind::LogUnavailable, report.error_.message_, report.error_.retryAfter_};
+            } else if (report.outcome_ == AppendOutcome::UnknownYet) {
+                result = Error{ErrorKind::Timeout, "the log did not answer", std::nullopt};
+            }
+            for (const auto &done : callbacks) {
+                done(result);
+            }
+        });
+    }
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/entry/joblog.cpp
@@ -0,0 +1,265 @@
+#include "marjoramfold/entry/joblog.h"
+
+#include "marjoramfold/core/jobjson.h"
+#include "marjoramfold/entry/jobtrace.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace Marjoramfold
+{
+namespace
+{
+// A caller waits for its submission, so an append is given up after this time.
+constexpr std::chrono::milliseconds CallerAppendTimeout{4'000};
+
+// What a scheduler decided must reach the log however long an outage takes.
+constexpr std::chrono::milliseconds DecisionAppendTimeout = std::chrono::hours(24);
+
+constexpr std::chrono::milliseconds RetryAfter{2'000};
+
+auto appendOptions() -> AppendQueueOptions
+{
+    AppendQueueOptions options;
+    options.stream_ = LogStream::Control;
+    options.maxRecords_ = 16'384;
+    return options;
+}
+
+auto followerOptions() -> LogFollowerOptions
+{
+    LogFollowerOptions options;
+    options.stream_ = LogStream::Control;
+    return options;
+}
+
+/// The error of an append that was not confirmed, for the caller who waits for it.
+auto errorOfReport(const AppendReport &report) -> Error
+{
+    if (report.outcome_ == AppendOutcome::NotAppended) {
+        return {ErrorKind::LogUnavailable, "the platform's log did not take the record: " + report.error_.message_, RetryAfter};
+    }
+    return {ErrorKind::MaybeRan, "the platform's log did not answer; ask for the job by its id", RetryAfter};
+}
+
+/// Answers a caller once for several appends: with the document when all succeeded, else with the first error.
+class AppendJoin
+{
+public:
+    AppendJoin(std::size_t count, nlohmann::json document, JsonCallback done)
+        : left_(count)
+        , document_(std::move(document))
+        , done_(std::move(done))
+    {
+    }
+
+    auto report(const AppendReport &report) -> void
+    {
+        if (!done_) {
+            return;
+        }
+        if (report.outcome_ != AppendOutcome::Appended) {
+            std::exchange(done_, nullptr)(errorOfReport(report));
+        } else if (--left_ == 0) {
+            std::exchange(done_, nullptr)(std::move(document_));
+        }
+    }
+
+private:
+    std::size_t left_;
+    nlohmann::json document_;
+    JsonCallback done_;
+};
+}
+
+JobLog::JobLog(asio::io_context &context, LogClient &log, Clock clock, JobLogHooks hooks)
+    : clock_(std::move(clock))
+    , hooks_(std::move(hooks))
+    , appends_(context, log, clock_, appendOptions())
+    , follower_(context,
+                log,
+                clock_,
+                followerOptions(),
+                {[this](Offset first) {
+                     ledger_.startReading(first);
+                     hooks_.begin_(first);
+                 },
+                 [this](const std::vector<FollowedRecord> &records) {
+                     handleRecords(records);
+                 },
+                 [this] {
+                     ledger_.noteReadUpTo(follower_.position());
+                 }})
+{
+}
+
+auto JobLog::start() -> void
+{
+    started_ = true;
+    follower_.start();
+}
+
+auto JobLog::hasStarted() const -> bool
+{
+    return started_;
+}
+
+auto JobLog::append(const Record &record, AppendCallback done) -> void
+{
+    appends_.append(record, CallerAppendTimeout, std::move(done));
+}
+
+auto JobLog::submit(const JobSpec &spec, const AvailabilityZoneId &zone, JsonCallback done) -> void
+{
+    const nlohmann::json document{{"id", spec.id_.value()}, {"availability_zone", zone.value()}, {"trace", toHex(traceOfJob(spec.id_).traceId_)}};
+    auto join = std::make_shared<AppendJoin>(2, document, std::move(done));
+    const auto report = [join](const AppendReport &outcome) {
+        join->report(outcome);
+    };
+    appends_.append(JobSubmittedRecord{hooks_.newRecordId_(), spec}, CallerAppendTimeout, report);
+    JobAssignedRecord assigned;
+    assigned.id_ = hooks_.newRecordId_();
+    assigned.job_ = spec.id_;
+    assigned.zone_ = zone;
+    appends_.append(assigned, CallerAppendTimeout, report);
+}
+
+auto JobLog::cancel(const std::vector<JobId> &jobs, JsonCallback done) -> void
+{
+    auto ids = nlohmann::json::array();
+    for (const auto &job : jobs) {
+        ids.push_back(job.value());
+    }
+    if (jobs.empty()) {
+        done(nlohmann::json{{"cancelled", std::move(ids)}});
+        return;
+    }
+    auto join = std::make_shared<AppendJoin>(jobs.size(), nlohmann::json{{"cancelled", std::move(ids)}}, std::move(done));
+    for (const auto &job : jobs) {
+        appends_.append(JobCancelledRecord{hooks_.newRecordId_(), job, "cancelled by a caller"}, CallerAppendTimeout, [join](const AppendReport &outcome) {
+            join->report(outcome);
+        });
+    }
+}
+
+auto JobLog::recordDecision(const AvailabilityZoneId &zone, Epoch epoch, const SchedulerCommand &command) -> void
+{
+    if (const auto *started = std::get_if<JobStarted>(&command)) {
+        JobStartedRecord record{hooks_.newRecordId_(), zone, epoch.claim_, started->job_, started->attempt_, {}};
+        record.workers_.resize(started->placements_.size());
+        for (const auto &placement : started->placements_) {
+            record.workers_.at(placement.task_.index_) = placement.worker_;
+        }
+        appendDecision(record, started->job_);
+    } else if (const auto *requeued = std::get_if<JobRequeued>(&command)) {
+        appendDecision(
+            JobPreemptedRecord{hooks_.newRecordId_(), zone, epoch.claim_, requeued->job_, requeued->nextAttempt_, requeued->progress_, requeued->reason_},
+            requeued->job_);
+    } else if (const auto *ended = std::get_if<JobEnded>(&command)) {
+        JobFinishedRecord record{hooks_.newRecordId_(), zone, epoch.claim_, ended->job_, ended->state_, ended->reason_, 0, {}};
+        if (ended->rule_) {
+            record.ruleLine_ = ended->rule_->number_;
+            record.ruleText_ = ended->rule_->text_;
+        }
+        appendDecision(record, ended->job_);
+    } else if (const auto *moved = std::get_if<JobReassigned>(&command)) {
+        appendDecision(JobAssignedRecord{hooks_.newRecordId_(), moved->job_, moved->from_, epoch.claim_, moved->to_, moved->nextAttempt_, moved->progress_},
+                       moved->job_);
+    }
+}
+
+auto JobLog::snapshotIfDue(const AvailabilityZoneId &zone, std::chrono::milliseconds retention) -> void
+{
+    if (snapshotting_.contains(zone) || !ledger_.mustSnapshot(zone, clock_.wallNow_(), retention)) {
+        return;
+    }
+    const auto records = ledger_.snapshot(zone, hooks_.newRecordId_().value(), nlohmann::json::object());
+    if (records.empty()) {
+        return;
+    }
+    snapshotting_.insert(zone);
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        const auto isLast = i + 1 == records.size();
+        appends_.append(records[i], DecisionAppendTimeout, [this, zone, isLast](const AppendReport &report) {
+            if (isLast) {
+                snapshotting_.erase(zone);
+                LOG(INFO) << "snapshot_written availability_zone=" << zone.value() << " appended=" << (report.outcome_ == AppendOutcome::Appended);
+            }
+        });
+    }
+}
+
+auto JobLog::ledger() -> JobLedger &
+{
+    return ledger_;
+}
+
+auto JobLog::ledger() const -> const JobLedger &
+{
+    return ledger_;
+}
+
+auto JobLog::confirmedAt() const -> std::optional<SteadyTime>
+{
+    return follower_.confirmedAt();
+}
+
+auto JobLog::unreachableSince() const -> std::optional<SteadyTime>
+{
+    return follower_.unreachableSince();
+}
+
+auto JobLog::pendingAppends() const -> std::size_t
+{
+    return appends_.pending();
+}
+
+auto JobLog::handleRecords(const std::vector<FollowedRecord> &records) -> void
+{
+    std::set<JobId> changed;
+    for (const auto &record : records) {
+        for (const auto &job : ledger_.apply(record.offset_, record.time_, record.record_)) {
+            changed.insert(job);
+        }
+        hooks_.record_(record);
+    }
+    if (!changed.empty()) {
+        hooks_.jobsChanged_(changed);
+    }
+}
+
+auto JobLog::appendDecision(const Record &record, const JobId &job) -> void
+{
+    appends_.append(record, DecisionAppendTimeout, [job](const AppendReport &report) {
+        if (report.outcome_ == AppendOutcome::NotAppended) {
+            LOG(ERROR) << "decision_not_recorded job=" << job.value() << " error=\"" << toString(report.error_) << "\"";
+        }
+    });
+}
+
+auto statusJson(const JobStatus &status) -> nlohmann::json
+{
+    auto workers = nlohmann::json::array();
+    for (const auto &worker : status.workers_) {
+        workers.push_back(worker.value());
+    }
+    nlohmann::json json{{"id", status.spec_.id_.value()},
+                        {"state", toString(status.state_)},
+                        {"availability_zone", status.zone_.value()},
+                        {"attempt", status.attempt_},
+                        {"progress_ms", status.progress_.count()},
+                        {"workers", std::move(workers)},
+                        {"reason", status.reason_},
+                        {"submitted_ms", toUnixMilliseconds(status.submitted_).count()},
+                        {"trace", toHex(traceOfJob(status.spec_.id_).traceId_)},
+                        {"job", toJson(status.spec_)}};
+    if (isFinal(status.state_)) {
+        json["ended_ms"] = toUnixMilliseconds(status.ended_).count();
+    }
+    if (!status.ruleText_.empty()) {
+        json["rule"] = {{"line", status.ruleLine_}, {"text", status.ruleText_}};
+    }
+    return json;
+}
+}
--- /dev/null
+++ b/marjoramfold/entry/joblog.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "marjoramfold/api/controlapi.h"
+#include "marjoramfold/log/appendqueue.h"
+#include "marjoramfold/log/logfollower.h"
+#include "marjoramfold/scheduling/events.h"
+#include "marjoramfold/scheduling/jobledger.h"
+
+#include <memory>
+#include <set>
+
+namespace Marjoramfold
+{
+/// What the job log needs from its instance.
+struct JobLogHooks {
+    /// Reading of `control` begins, or begins again.
+    std::function<void(Offset first)> begin_;
+    /// A record was read; called after the ledger has applied it.
+    std::function<void(const FollowedRecord &record)> record_;
+    /// Jobs changed; called once for all records that were read together.
+    std::function<void(const std::set<JobId> &jobs)> jobsChanged_;
+    std::function<RecordId()> newRecordId_;
+};
+
+/// Follows the stream `control` and writes the records of jobs. Control thread only.
+class JobLog
+{
+public:
+    JobLog(asio::io_context &context, LogClient &log, Clock clock, JobLogHooks hooks);
+
+    auto start() -> void;
+    [[nodiscard]] auto hasStarted() const -> bool;
+
+    /// Appends a record of this instance; the callback gets `NotAppended` when it surely is not in the log.
+    auto append(const Record &record, AppendCallback done) -> void;
+
+    /// Appends a submission and its assignment; answers once both are in the log.
+    auto submit(const JobSpec &spec, const AvailabilityZoneId &zone, JsonCallback done) -> void;
+
+    /// Appends cancellations; answers once they are in the log.
+    auto cancel(const std::vector<JobId> &jobs, JsonCallback done) -> void;
+
+    /// Records what a scheduler decided about a job under an epoch.
+    auto recordDecision(const AvailabilityZoneId &zone, Epoch epoch, const SchedulerCommand &command) -> void;
+
+    /// Appends a snapshot of an availability zone if its newest one is old. Only for the zone's owner.
+    auto snapshotIfDue(const AvailabilityZoneId &zone, std::chrono::milliseconds retention) -> void;
+
+    [[nodiscard]] auto ledger() -> JobLedger &;
+    [[nodiscard]] auto ledger() const -> const JobLedger &;
+    [[nodiscard]] auto confirmedAt() const -> std::optional<SteadyTime>;
+    [[nodiscard]] auto unreachableSince() const -> std::optional<SteadyTime>;
+
+    /// Records that wait for the log's answer.
+    [[nodiscard]] auto pendingAppends() const -> std::size_t;
+
+private:
+    auto handleRecords(const std::vector<FollowedRecord> &records) -> void;
+    auto appendDecision(const Record &record, const JobId &job) -> void;
+
+    Clock clock_;
+    JobLogHooks hooks_;
+    JobLedger ledger_;
+    AppendQueue appends_;
+    LogFollower follower_;
+    bool started_ = false;
+    std::set<AvailabilityZoneId> snapshotting_;
+};
+
+/// JSON of a job's status for answers.
+[[nodiscard]] auto statusJson(const JobStatus &status) -> nlohmann::json;
+}
--- /dev/null
+++ b/marjoramfold/entry/trafficplane.cpp
@@ -0,0 +1,135 @@
+#include "marjoramfold/entry/trafficplane.h"
+
+#include "marjoramfold/api/erroranswer.h"
+
+#include <asio/post.hpp>
+
+#include <utility>
+
+namespace Marjoramfold
+{
+namespace
+{
+constexpr std::string_view TraceparentHeader = "traceparent";
+constexpr int FirstServerError = 500;
+
+/// Puts a trace context into the headers of a request, in place of the caller's.
+auto replaceTraceparent(HttpHeaders &headers, const TraceContext &context) -> void
+{
+    const auto value = formatTraceparent(context);
+    for (auto &header : headers) {
+        if (sameHeaderName(header.name_, TraceparentHeader)) {
+            header.value_ = value;
+            return;
+        }
+    }
+    headers.push_back({std::string(TraceparentHeader), value});
+}
+
+/// Paths that are polled; a span of each would push the others out.
+auto isTraced(std::string_view path) -> bool
+{
+    return path != "/metrics" && path != "/healthz" && path != "/readyz" && !path.starts_with("/v1/traces/");
+}
+} // namespace
+
+struct TrafficPlane::Lane {
+    Lane()
+        : context_(1)
+        , work_(asio::make_work_guard(context_))
+    {
+    }
+
+    asio::io_context context_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::unique_ptr<RequestCommands> commands_;
+    std::unique_ptr<RequestQueries> queries_;
+    std::unique_ptr<HttpServer> server_;
+};
+
+TrafficPlane::TrafficPlane(
+    const EntrySettings &settings, RouterGroupOptions options, RouterHooks hooks, ControlCommands commands, ControlQueries queries, Tracer &tracer)
+    : settings_(settings)
+    , tracer_(tracer)
+    , commands_(std::move(commands))
+    , queries_(std::move(queries))
+{
+    std::vector<asio::io_context *> contexts;
+    for (auto i = 0; i < settings.limits_.trafficThreads_; ++i) {
+        lanes_.push_back(std::make_unique<Lane>());
+        contexts.push_back(&lanes_.back()->context_);
+    }
+    routers_ = std::make_unique<RouterGroup>(contexts, std::move(options), std::move(hooks));
+    for (std::size_t i = 0; i < lanes_.size(); ++i) {
+        lanes_[i]->commands_ = std::make_unique<RequestCommands>(*routers_, i);
+        lanes_[i]->queries_ = std::make_unique<RequestQueries>(*routers_, i);
+    }
+}
+
+TrafficPlane::~TrafficPlane()
+{
+    stop();
+}
+
+auto TrafficPlane::start() -> void
+{
+    for (auto &lane : lanes_) {
+        HttpServerOptions options;
+        options.address_ = settings_.listenAddress_;
+        options.port_ = settings_.httpPort_;
+        options.reusePort_ = true;
+        lane->server_ = std::make_unique<HttpServer>(lane->context_, options, [this, &lane = *lane](HttpServerRequest request, const HttpResponder &respond) {
+            handle(lane, std::move(request), respond);
+        });
+        lane->server_->start();
+    }
+    for (auto &lane : lanes_) {
+        threads_.emplace_back([&lane = *lane] {
+            lane.context_.run();
+        });
+    }
+}
+
+auto TrafficPlane::stop() -> void
+{
+    for (auto &lane : lanes_) {
+        lane->context_.stop();
+    }
+    for (auto &thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+}
+
+auto TrafficPlane::routers() -> RouterGroup &
+{
+    return *routers_;
+}
+
+auto TrafficPlane::post(std::function<void()> call) -> void
+{
+    asio::post(lanes_.front()->context_, std::move(call));
+}
+
+auto TrafficPlane::handle(Lane &lane, HttpServerRequest request, const HttpResponder &respond) -> void
+{
+    // One span for the hop from the caller to this instance; what follows is below it.
+    auto answer = respond;
+    const auto path = std::string(pathOf(request.target_));
+    if (isTraced(path)) {
+        auto span = std::make_shared<Span>(tracer_.startServerSpan(request.method_ + " " + path, findHeader(request.headers_, TraceparentHeader).value_or("")));
+        replaceTraceparent(request.headers_, span->context());
+        answer = [respond, span](HttpServerResponse response) {
+            span->setAttribute("http.status_code", std::int64_t(response.status_));
+            span->setStatus(response.status_ < FirstServerError ? SpanStatus::Ok : SpanStatus::Error);
+            response.headers_.push_back({std::string(TraceparentHeader), formatTraceparent(span->context())});
+            span->end();
+            respond(std::move(response));
+        };
+    }
+    if (handleRequestPath(*lane.commands_, *lane.queries_, request, answer) || commands_.handle(request, answer) || queries_.handle(request, answer)) {
+        return;
+    }
+    answer(errorResponse({ErrorKind::NotFound, "no such path: " + request.method_ + " " + path, std::nullopt}));
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/entry/trafficplane.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "marjoramfold/api/controlhandlers.h"
+#include "marjoramfold/api/requesthandlers.h"
+#include "marjoramfold/entry/entrysettings.h"
+#include "marjoramfold/http/httpserver.h"
+#include "marjoramfold/observability/tracer.h"
+#include "marjoramfold/routing/routergroup.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// The traffic threads of an instance: each serves HTTP on the shared port and routes its requests.
+class TrafficPlane
+{
+public:
+    TrafficPlane(
+        const EntrySettings &settings, RouterGroupOptions options, RouterHooks hooks, ControlCommands commands, ControlQueries queries, Tracer &tracer);
+    ~TrafficPlane();
+    TrafficPlane(const TrafficPlane &) = delete;
+    auto operator=(const TrafficPlane &) -> TrafficPlane & = delete;
+
+    /// Binds the HTTP port and starts the threads. Throws std::exception when the port is taken.
+    auto start() -> void;
+
+    /// Ends the threads. Requests in progress must be finished, see RouterGroup::drain.
+    auto stop() -> void;
+
+    [[nodiscard]] auto routers() -> RouterGroup &;
+
+    /// Runs a call on the first traffic thread.
+    auto post(std::function<void()> call) -> void;
+
+private:
+    /// One traffic thread with its server and handlers.
+    struct Lane;
+
+    auto handle(Lane &lane, HttpServerRequest request, const HttpResponder &respond) -> void;
+
+    EntrySettings settings_;
+    Tracer &tracer_;
+    std::vector<std::unique_ptr<Lane>> lanes_;
+    std::unique_ptr<RouterGroup> routers_;
+    ControlCommandHandlers commands_;
+    ControlQueryHandlers queries_;
+    std::vector<std::thread> threads_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/entry/zonescontroller.cpp
@@ -0,0 +1,404 @@
+#include "marjoramfold/entry/zonescontroller.h"
+
+#include "marjoramfold/entry/jobtrace.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Marjoramfold
+{
+namespace
+{
+// An assignment follows its submission in the same append; a job without one for this long lost its submitter.
+constexpr std::chrono::milliseconds OrphanCheckInterval{5'000};
+
+/// The availability zone of an ownership record; empty for other records.
+auto zoneOfOwnershipRecord(const Record &record) -> AvailabilityZoneId
+{
+    if (const auto *claim = std::get_if<ClaimRecord>(&record)) {
+        return claim->zone_;
+    }
+    if (const auto *renewal = std::get_if<RenewalRecord>(&record)) {
+        return renewal->zone_;
+    }
+    if (const auto *release = std::get_if<ReleaseRecord>(&record)) {
+        return release->zone_;
+    }
+    return {};
+}
+}
+
+ZonesController::ZonesController(asio::io_context &context,
+                                 JobLog &jobs,
+                                 WorkerClient &workers,
+                                 OwnershipCandidate self,
+                                 std::string idPrefix,
+                                 ZonesControllerHooks hooks)
+    : context_(context)
+    , jobs_(jobs)
+    , workers_(workers)
+    , self_(std::move(self))
+    , idPrefix_(std::move(idPrefix))
+    , hooks_(std::move(hooks))
+{
+}
+
+auto ZonesController::setRules(const RuleSetPointer &rules) -> void
+{
+    rules_ = rules;
+    std::set<AvailabilityZoneId> ids;
+    for (const auto &[id, rule] : rules->zones_) {
+        ids.insert(id);
+        if (!zones_.contains(id)) {
+            addZone(id);
+        }
+    }
+    jobs_.ledger().setZones(ids);
+    for (auto &[id, zone] : zones_) {
+        if (zone->runtime_) {
+            zone->runtime_->setRules(rules);
+        }
+    }
+    if (!jobs_.hasStarted()) {
+        jobs_.start();
+    }
+}
+
+auto ZonesController::setInstances(const InstanceList &list) -> void
+{
+    listedWorkers_.clear();
+    std::set<WorkerId> leaving;
+    for (const auto &instance : list.instances_) {
+        if (instance.role_ != InstanceRole::Worker) {
+            continue;
+        }
+        listedWorkers_.push_back(instance);
+        if (instance.state_ == InstanceState::Leaving) {
+            leaving.insert(WorkerId(instance.id_));
+        }
+    }
+    for (auto &[id, zone] : zones_) {
+        if (zone->runtime_) {
+            zone->runtime_->setWorkers(workersOf(id), leaving);
+        }
+    }
+}
+
+auto ZonesController::beginReading(Offset first) -> void
+{
+    readFrom_ = first;
+    unclaimed_.clear();
+    for (auto &[id, zone] : zones_) {
+        zone->ownership_.startReading(first);
+    }
+}
+
+auto ZonesController::applyRecord(const FollowedRecord &record) -> void
+{
+    const auto id = zoneOfOwnershipRecord(record.record_);
+    if (id.isEmpty()) {
+        return;
+    }
+    const auto found = zones_.find(id);
+    if (found != zones_.end()) {
+        found->second->ownership_.apply(record.offset_, record.record_, std::chrono::steady_clock::now());
+        return;
+    }
+    // Kept until the rules name the zone; of renewals the newest is enough.
+    auto &kept = unclaimed_[id];
+    if (!kept.empty() && std::holds_alternative<RenewalRecord>(record.record_) && std::holds_alternative<RenewalRecord>(kept.back().record_)) {
+        kept.back() = record;
+    } else {
+        kept.push_back(record);
+    }
+}
+
+auto ZonesController::applyJobChanges(const std::set<JobId> &jobs) -> void
+{
+    std::vector<JobId> cancelled;
+    for (const auto &job : jobs) {
+        const auto *status = jobs_.ledger().find(job);
+        if (status != nullptr && status->state_ == JobState::Cancelled) {
+            cancelled.push_back(job);
+        }
+    }
+    for (auto &[id, zone] : zones_) {
+        if (!zone->runtime_) {
+            continue;
+        }
+        if (!cancelled.empty()) {
+            zone->runtime_->cancelJobs(cancelled);
+        }
+        giveWaitingJobs(*zone);
+    }
+}
+
+auto ZonesController::tick(SteadyTime now) -> void
+{
+    for (auto &[id, zone] : zones_) {
+        stepOwnership(*zone, now);
+        if (zone->runtime_) {
+            zone->runtime_->tick();
+        }
+    }
+    assignOrphans(now);
+}
+
+auto ZonesController::release() -> void
+{
+    draining_ = true;
+    for (auto &[id, zone] : zones_) {
+        zone->ownership_.release();
+    }
+}
+
+auto ZonesController::chooseZone(const JobSpec &spec) const -> Result<AvailabilityZoneId>
+{
+    if (!rules_) {
+        return Error{ErrorKind::RulesNotLoaded, "no rules are in force yet", std::nullopt};
+    }
+    std::optional<AvailabilityZoneId> best;
+    std::int64_t bestScore = 0;
+    for (const auto &[id, rule] : rules_->zones_) {
+        if (!isCandidate(spec, id)) {
+            continue;
+        }
+        // The zone with the most free accelerators after what already waits there; zones that are out come last.
+        const auto capacity = hooks_.capacity_(id);
+        auto score = capacity ? std::int64_t(capacity->freeAccelerators_) * 4 - std::int64_t(capacity->waitingJobs_) : 0;
+        constexpr std::int64_t OutPenalty = 1'000'000'000;
+        score -= rule.state_ == AvailabilityZoneState::Out ? OutPenalty : 0;
+        if (!best || score > bestScore) {
+            best = id;
+            bestScore = score;
+        }
+    }
+    if (!best) {
+        return Error{ErrorKind::JobCanNeverRun, "the rules name none of the job's availability zones", std::nullopt};
+    }
+    return *best;
+}
+
+auto ZonesController::ownerOf(const AvailabilityZoneId &zone) const -> ZoneEpoch
+{
+    const auto found = zones_.find(zone);
+    return found == zones_.end() ? ZoneEpoch() : found->second->ownership_.inForce();
+}
+
+auto ZonesController::runtimeOf(const AvailabilityZoneId &zone) const -> const ZoneRuntime *
+{
+    const auto found = zones_.find(zone);
+    return found == zones_.end() ? nullptr : found->second->runtime_.get();
+}
+
+auto ZonesController::capacities() -> std::vector<ZoneCapacity>
+{
+    std::vector<ZoneCapacity> capacities;
+    ++capacityCounter_;
+    for (const auto &[id, zone] : zones_) {
+        if (zone->runtime_ && zone->runtime_->isScheduling()) {
+            const auto summary = zone->runtime_->summarize();
+            capacities.push_back({id,
+                                  zone->runtime_->epoch(),
+                                  capacityCounter_,
+                                  static_cast<std::uint32_t>(std::max(0, summary.freeAccelerators_)),
+                                  static_cast<std::uint32_t>(std::max(0, summary.largestFreeGang_)),
+                                  static_cast<std::uint32_t>(std::max(0, summary.waitingJobs_))});
+        }
+    }
+    return capacities;
+}
+
+auto ZonesController::isActing() const -> bool
+{
+    return std::any_of(zones_.begin(), zones_.end(), [](const auto &entry) {
+        return entry.second->runtime_ != nullptr;
+    });
+}
+
+auto ZonesController::addZone(const AvailabilityZoneId &id) -> void
+{
+    auto zone = std::make_unique<Zone>(Ownership(id, self_, idPrefix_ + "-" + id.value()));
+    if (readFrom_) {
+        zone->ownership_.startReading(*readFrom_);
+        const auto now = std::chrono::steady_clock::now();
+        for (const auto &record : unclaimed_[id]) {
+            zone->ownership_.apply(record.offset_, record.record_, now);
+        }
+        unclaimed_.erase(id);
+    }
+    if (draining_) {
+        zone->ownership_.release();
+    }
+    zones_.emplace(id, std::move(zone));
+}
+
+auto ZonesController::stepOwnership(Zone &zone, SteadyTime now) -> void
+{
+    if (!readFrom_) {
+        return;
+    }
+    zone.ownership_.noteLog(jobs_.confirmedAt(), jobs_.unreachableSince());
+    zone.ownership_.noteInstances(hooks_.candidates_(), hooks_.confirmedDead_(), now);
+    for (const auto &command : zone.ownership_.step(now)) {
+        carryOut(zone, command);
+    }
+    if (zone.wanted_ && jobs_.ledger().isComplete(zone.ownership_.zone())) {
+        startRuntime(zone, *std::exchange(zone.wanted_, std::nullopt));
+    }
+}
+
+auto ZonesController::carryOut(Zone &zone, const OwnershipCommand &command) -> void
+{
+    if (const auto *append = std::get_if<AppendOwnershipRecord>(&command)) {
+        const auto recordId = idOf(append->record_);
+        jobs_.append(append->record_, [this, id = zone.ownership_.zone(), recordId](const AppendReport &report) {
+            const auto found = zones_.find(id);
+            if (found != zones_.end() && report.outcome_ == AppendOutcome::NotAppended) {
+                found->second->ownership_.noteNotAppended(recordId);
+            }
+        });
+    } else if (const auto *start = std::get_if<StartActing>(&command)) {
+        LOG(INFO) << "ownership_taken availability_zone=" << zone.ownership_.zone().value() << " epoch=" << start->epoch_.claim_
+                  << " rank=" << start->epoch_.rank_;
+        stopRuntime(zone);
+        zone.wanted_ = start->epoch_;
+    } else {
+        LOG(INFO) << "ownership_ended availability_zone=" << zone.ownership_.zone().value();
+        stopRuntime(zone);
+    }
+}
+
+auto ZonesController::startRuntime(Zone &zone, Epoch epoch) -> void
+{
+    const auto id = zone.ownership_.zone();
+    ZoneRuntimeHooks hooks;
+    hooks.record_ = [this, id](const SchedulerCommand &command) {
+        handleDecision(*zones_.at(id), command);
+    };
+    hooks.staleEpoch_ = [this, id] {
+        // Posted, since the runtime that calls may be closed by what follows.
+        asio::post(context_, [this, id] {
+            zones_.at(id)->ownership_.noteStaleRefusal(std::chrono::steady_clock::now());
+        });
+    };
+    hooks.mayStart_ = hooks_.mayStart_;
+    hooks.traceparentOf_ = [](const JobId &job) {
+        return formatTraceparent(traceOfJob(job));
+    };
+    zone.runtime_ = std::make_shared<ZoneRuntime>(context_, workers_, id, epoch, rules_, std::move(hooks));
+    std::vector<KnownJob> known;
+    zone.given_.clear();
+    for (const auto &status : jobs_.ledger().openJobs(id)) {
+        known.push_back(toKnownJob(status));
+        zone.given_.insert(status.spec_.id_);
+    }
+    zone.runtime_->start(workersOf(id), std::move(known));
+}
+
+auto ZonesController::stopRuntime(Zone &zone) -> void
+{
+    zone.wanted_.reset();
+    if (zone.runtime_) {
+        zone.runtime_->close();
+        zone.runtime_.reset();
+    }
+}
+
+auto ZonesController::handleDecision(Zone &zone, const SchedulerCommand &command) -> void
+{
+    if (!zone.runtime_) {
+        return;
+    }
+    const auto epoch = zone.runtime_->epoch();
+    const auto id = zone.ownership_.zone();
+    if (const auto *started = std::get_if<JobStarted>(&command)) {
+        hooks_.traceJob_(started->job_, "job started in " + id.value());
+    } else if (const auto *requeued = std::get_if<JobRequeued>(&command)) {
+        hooks_.traceJob_(requeued->job_, "job requeued: " + requeued->reason_);
+    } else if (const auto *ended = std::get_if<JobEnded>(&command)) {
+        hooks_.traceJob_(ended->job_, "job " + std::string(toString(ended->state_)));
+    } else if (const auto *moved = std::get_if<JobReassigned>(&command)) {
+        auto destination = *moved;
+        const auto *status = jobs_.ledger().find(moved->job_);
+        if (destination.to_.isEmpty() && status != nullptr) {
+            const auto chosen = chooseZone(status->spec_);
+            destination.to_ = isOk(chosen) ? valueOf(chosen) : id;
+        }
+        hooks_.traceJob_(moved->job_, "job moved to " + destination.to_.value());
+        jobs_.recordDecision(id, epoch, destination);
+        return;
+    }
+    jobs_.recordDecision(id, epoch, command);
+}
+
+auto ZonesController::assignOrphans(SteadyTime now) -> void
+{
+    if (now < nextOrphanCheck_ || !rules_ || draining_) {
+        return;
+    }
+    nextOrphanCheck_ = now + OrphanCheckInterval;
+    const auto candidates = hooks_.candidates_();
+    const auto isLowest = std::none_of(candidates.begin(), candidates.end(), [this](const OwnershipCandidate &candidate) {
+        return candidate.id_ < self_.id_;
+    });
+    if (!isLowest) {
+        return;
+    }
+    for (const auto &status : jobs_.ledger().unassignedJobs()) {
+        const auto zone = chooseZone(status.spec_);
+        if (isOk(zone)) {
+            JobAssignedRecord record;
+            record.id_ = RecordId(idPrefix_ + "-assign-" + status.spec_.id_.value());
+            record.job_ = status.spec_.id_;
+            record.zone_ = valueOf(zone);
+            jobs_.append(record, [](const AppendReport &) {});
+        }
+    }
+}
+
+auto ZonesController::giveWaitingJobs(Zone &zone) -> void
+{
+    // Jobs that the log gave to this zone since the runtime started, by submission or by another zone's owner. A job that this
+    // runtime ended or moved stays noted until its record is read, else it would be given a second time.
+    const auto open = jobs_.ledger().openJobs(zone.ownership_.zone());
+    std::set<JobId> openIds;
+    for (const auto &status : open) {
+        openIds.insert(status.spec_.id_);
+    }
+    std::erase_if(zone.given_, [&openIds](const JobId &job) {
+        return !openIds.contains(job);
+    });
+    for (const auto &status : open) {
+        if (zone.given_.insert(status.spec_.id_).second) {
+            auto job = toKnownJob(status);
+            ++job.attempt_;
+            zone.runtime_->addJob(std::move(job));
+        }
+    }
+}
+
+auto ZonesController::workersOf(const AvailabilityZoneId &zone) const -> std::vector<WorkerInfo>
+{
+    std::vector<WorkerInfo> workers;
+    for (const auto &instance : listedWorkers_) {
+        if (instance.zone_ == zone) {
+            workers.push_back({WorkerId(instance.id_), zone, instance.rack_, instance.capacity_, instance.address_});
+        }
+    }
+    return workers;
+}
+
+auto ZonesController::toKnownJob(const JobStatus &status) const -> KnownJob
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now() - status.submitted_);
+    return {status.spec_, std::max(age, std::chrono::milliseconds(0)), status.attempt_, status.progress_};
+}
+
+auto ZonesController::isCandidate(const JobSpec &spec, const AvailabilityZoneId &zone) const -> bool
+{
+    return spec.allowedZones_.empty() || std::find(spec.allowedZones_.begin(), spec.allowedZones_.end(), zone) != spec.allowedZones_.end();
+}
+}
--- a/marjoramfold/http/httpserver.cpp
+++ b/marjoramfold/http/httpserver.cpp
@@ -51,7 +51,7 @@
     Impl(asio::io_context &context, const HttpServerOptions &options, HttpHandler handler)
         : handler_(std::move(handler))
         , server_(restinio::external_io_context(context), [&](auto &settings) {
-            configure(settings, options);
+            configure(settings, context, options);
         })
     {
     }
@@ -72,7 +72,7 @@
 
 private:
     template<typename Settings>
-    auto configure(Settings &settings, const HttpServerOptions &options) -> void
+    auto configure(Settings &settings, asio::io_context &context, const HttpServerOptions &options) -> void
     {
         settings.address(options.address_)
             .port(options.port_)
@@ -93,9 +93,12 @@
             .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
                 boundPort_ = acceptor.local_endpoint().port();
             })
-            .request_handler([this](restinio::request_handle_t handle) {
-                handler_(toRequest(handle), [handle](HttpServerResponse answer) {
-                    respond(handle, std::move(answer));
+            .request_handler([this, &context](restinio::request_handle_t handle) {
+                handler_(toRequest(handle), [handle, &context](HttpServerResponse answer) {
+                    // A connection belongs to the thread of its io_context; an answer may come from another one.
+                    asio::dispatch(context, [handle, answer = std::move(answer)]() mutable {
+                        respond(handle, std::move(answer));
+                    });
                 });
                 return restinio::request_accepted();
             });
