--- a/standins/executor/executor.cpp
+++ b/standins/executor/executor.cpp
@@ -30,6 +30,17 @@
     return std::chrono::steady_clock::now() + std::chrono::milliseconds(milliseconds);
 }
 
+/// Key of a request in the account: its Idempotency-Key, else the rest of a first body line "key=KEY".
+auto accountKeyOf(const RawRequest &request) -> std::string
+{
+    constexpr std::string_view Mark = "key=";
+    auto key = headerOf(request, "Idempotency-Key");
+    if (key.empty() && request.body_.starts_with(Mark)) {
+        key = request.body_.substr(Mark.size(), request.body_.find('\n') - Mark.size());
+    }
+    return key;
+}
+
 /// FNV-1a: lets a caller check that the answer is for its own body.
 auto checksum(std::string_view body) -> std::uint64_t
 {
@@ -113,7 +124,7 @@
 {
     ++busy_;
     ++total_;
-    const auto key = headerOf(execution.request_, "Idempotency-Key");
+    const auto key = accountKeyOf(execution.request_);
     if (!key.empty()) {
         ++executions_[key];
     }
@@ -177,7 +188,7 @@
 auto Executor::answerOf(const RawRequest &request) const -> RawAnswer
 {
     const nlohmann::json body = {
-        {"target", options_.id_}, {"key", headerOf(request, "Idempotency-Key")}, {"bytes", request.body_.size()}, {"checksum", checksum(request.body_)}};
+        {"target", options_.id_}, {"key", accountKeyOf(request)}, {"bytes", request.body_.size()}, {"checksum", checksum(request.body_)}};
     return {200,
             {{"X-Correlation-Id", headerOf(request, "X-Correlation-Id")}},
             body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
