Add reclaim by preemption, urgent starts and exchange of running work

Covered jobs waited for free workers, so a team's unused guarantee could not be reclaimed. A planner now evicts whole borrowed gangs, the cheapest lost work first, and the claimant holds the reservation until they are gone.

--- a/marjoramfold/placement/clusterstate.cpp
+++ b/marjoramfold/placement/clusterstate.cpp
@@ -85,12 +85,12 @@
     auto &record = workers_[worker];
     record.used_ += task;
     const auto entry = std::find_if(record.gangs_.begin(), record.gangs_.end(), [gang](const auto &share) {
-        return share.first == gang;
+        return share.gang_ == gang;
     });
     if (entry == record.gangs_.end()) {
-        record.gangs_.emplace_back(gang, 1);
+        record.gangs_.push_back({gang, 1, task});
     } else {
-        ++entry->second;
+        ++entry->tasks_;
     }
     index(worker);
 }
@@ -101,10 +101,10 @@
     auto &record = workers_[worker];
     record.used_ -= task;
     const auto entry = std::find_if(record.gangs_.begin(), record.gangs_.end(), [gang](const auto &share) {
-        return share.first == gang;
+        return share.gang_ == gang;
     });
     assert(entry != record.gangs_.end());
-    if (--entry->second == 0) {
+    if (--entry->tasks_ == 0) {
         record.gangs_.erase(entry);
     }
     index(worker);
--- a/marjoramfold/placement/clusterstate.h
+++ b/marjoramfold/placement/clusterstate.h
@@ -10,6 +10,13 @@
 
 namespace Marjoramfold
 {
+/// The reservations of one gang on one worker.
+struct GangShare {
+    GangIndex gang_ = 0;
+    int tasks_ = 0;
+    Resources task_;
+};
+
 /// A worker with what is reserved on it.
 struct WorkerRecord {
     WorkerInfo info_;
@@ -17,7 +24,7 @@
     RackIndex rack_ = 0;
     Resources used_;
     /// Gangs with reservations on this worker.
-    std::vector<std::pair<GangIndex, int>> gangs_;
+    std::vector<GangShare> gangs_;
     bool up_ = false;
     bool leaving_ = false;
     bool quarantined_ = false;
@@ -30,7 +37,7 @@
         return up_ && !leaving_ && !quarantined_;
     }
 
-    /// What is not reserved.
+    /// What is not reserved. Negative while a gang waits here for the end of the gangs that it evicted.
     [[nodiscard]] auto free() const -> Resources
     {
         auto left = info_.capacity_;
--- a/marjoramfold/placement/guaranteeledger.cpp
+++ b/marjoramfold/placement/guaranteeledger.cpp
@@ -109,6 +109,19 @@
     return account == zones_[zone].accounts_.end() ? 0 : account->second.accelerators_;
 }
 
+auto GuaranteeLedger::available(WorkerIndex worker) const -> int
+{
+    return worker < workers_.size() ? workers_[worker].available() : 0;
+}
+
+auto GuaranteeLedger::hasGuarantee(const TeamId &team) const -> bool
+{
+    return std::any_of(zones_.begin(), zones_.end(), [&team](const Zone &zone) {
+        const auto account = zone.accounts_.find(team);
+        return account != zone.accounts_.end() && account->second.accelerators_ > 0;
+    });
+}
+
 auto GuaranteeLedger::addTo(AcceleratorHistogram &histogram, int accelerators, int count) -> void
 {
     const auto size = static_cast<std::size_t>(accelerators);
--- a/marjoramfold/placement/guaranteeledger.h
+++ b/marjoramfold/placement/guaranteeledger.h
@@ -46,6 +46,12 @@
     /// Accelerators that a team is guaranteed in an availability zone.
     [[nodiscard]] auto guaranteed(ZoneIndex zone, const TeamId &team) const -> int;
 
+    /// Accelerators of a worker that are not held by guaranteed work.
+    [[nodiscard]] auto available(WorkerIndex worker) const -> int;
+
+    /// Whether a team is guaranteed anything in any availability zone of this ledger.
+    [[nodiscard]] auto hasGuarantee(const TeamId &team) const -> bool;
+
 private:
     struct Account {
         int accelerators_ = 0;
--- /dev/null
+++ b/marjoramfold/placement/preemptionplanner.cpp
@@ -0,0 +1,235 @@
+#include "marjoramfold/placement/preemptionplanner.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <unordered_map>
+
+namespace Marjoramfold
+{
+namespace
+{
+// Workers looked at for gangs without accelerators, of which an availability zone may have hundreds.
+constexpr std::size_t MaxCoreWorkers = 128;
+
+// Added to a cost per task so that among free choices the worker with the fewest accelerators left over wins.
+constexpr double LeftoverWeight = 1e-6;
+} // namespace
+
+/// One search among a set of workers. Victims that are chosen count as gone for all later choices.
+class PreemptionPlanner::Search
+{
+public:
+    Search(const ClusterState &cluster, const GangShape &shape, const EvictionCost &costOf, const WorkerRank &rankOf)
+        : cluster_(&cluster)
+        , shape_(shape)
+        , costOf_(&costOf)
+        , rankOf_(&rankOf)
+    {
+    }
+
+    auto run(const std::vector<WorkerIndex> &workers) -> std::optional<PreemptionPlan>
+    {
+        auto left = shape_.tasks_;
+        for (const auto worker : workers) {
+            addOffer(offerOf(worker, left));
+        }
+        while (left > 0) {
+            const auto best = std::min_element(offers_.begin(), offers_.end(), [](const Offer &one, const Offer &other) {
+                return std::pair(one.rank_, one.costPerTask_) < std::pair(other.rank_, other.costPerTask_);
+            });
+            if (best == offers_.end()) {
+                return std::nullopt;
+            }
+            // An offer that was made for more tasks than are left may hold needless victims.
+            if (best->tasks_ > left) {
+                *best = *offerOf(best->worker_, left);
+                continue;
+            }
+            const auto taken = std::move(*best);
+            offers_.erase(best);
+            plan_.placement_.push_back({taken.worker_, taken.tasks_});
+            left -= taken.tasks_;
+            evictAll(taken.victims_, left);
+        }
+        dropNeedless();
+        return std::move(plan_);
+    }
+
+private:
+    /// What one worker can take, and what must go for it.
+    struct Offer {
+        WorkerIndex worker_ = 0;
+        int tasks_ = 0;
+        int rank_ = 0;
+        double costPerTask_ = 0;
+        std::vector<GangIndex> victims_;
+    };
+
+    auto addOffer(std::optional<Offer> offer) -> void
+    {
+        if (offer) {
+            offers_.push_back(std::move(*offer));
+        }
+    }
+
+    // Offers that counted on the eviction of the same gangs are made again.
+    auto evictAll(const std::vector<GangIndex> &victims, int left) -> void
+    {
+        for (const auto victim : victims) {
+            plan_.victims_.push_back(victim);
+            plan_.cost_ += costOf(victim).value_or(0);
+        }
+        if (left == 0 || victims.empty()) {
+            return;
+        }
+        for (auto &offer : offers_) {
+            const auto &shares = cluster_->worker(offer.worker_).gangs_;
+            const auto isTouched = std::any_of(shares.begin(), shares.end(), [&victims](const GangShare &share) {
+                return std::find(victims.begin(), victims.end(), share.gang_) != victims.end();
+            });
+            if (isTouched) {
+                offer = *offerOf(offer.worker_, left);
+            }
+        }
+    }
+
+    auto offerOf(WorkerIndex worker, int left) -> std::optional<Offer>
+    {
+        const auto &record = cluster_->worker(worker);
+        auto free = record.free();
+        std::vector<std::pair<double, const GangShare *>> candidates;
+        for (const auto &share : record.gangs_) {
+            if (isEvicted(share.gang_)) {
+                free += resourcesOf(share.task_, share.tasks_);
+            } else if (const auto cost = costOf(share.gang_)) {
+                candidates.emplace_back(*cost, &share);
+            }
+        }
+        std::stable_sort(candidates.begin(), candidates.end(), [](const auto &one, const auto &other) {
+            return one.first < other.first;
+        });
+        Offer best;
+        best.worker_ = worker;
+        best.rank_ = *rankOf_ ? (*rankOf_)(worker) : 0;
+        Offer next = best;
+        auto cost = 0.0;
+        // Takes victims one by one, and keeps the number of victims with the lowest cost per task.
+        for (std::size_t taken = 0;; ++taken) {
+            next.tasks_ = tasksThatFit(free, shape_.task_, left);
+            const auto leftover = free.accelerators_ - next.tasks_ * shape_.task_.accelerators_;
+            next.costPerTask_ = next.tasks_ > 0 ? cost / next.tasks_ + LeftoverWeight * leftover : std::numeric_limits<double>::max();
+            if (next.tasks_ > 0 && (best.tasks_ == 0 || next.costPerTask_ < best.costPerTask_)) {
+                best = next;
+            }
+            if (taken == candidates.size() || next.tasks_ == left) {
+                break;
+            }
+            const auto &share = *candidates[taken].second;
+            free += resourcesOf(share.task_, share.tasks_);
+            cost += candidates[taken].first;
+            next.victims_.push_back(share.gang_);
+        }
+        return best.tasks_ > 0 ? std::optional(std::move(best)) : std::nullopt;
+    }
+
+    auto costOf(GangIndex gang) -> std::optional<double>
+    {
+        const auto [entry, isNew] = costs_.try_emplace(gang);
+        if (isNew) {
+            entry->second = (*costOf_)(gang);
+        }
+        return entry->second;
+    }
+
+    [[nodiscard]] auto isEvicted(GangIndex gang) const -> bool
+    {
+        return std::find(plan_.victims_.begin(), plan_.victims_.end(), gang) != plan_.victims_.end();
+    }
+
+    // A victim that was chosen early may be needless once dearer ones were chosen for other members.
+    auto dropNeedless() -> void
+    {
+        auto dearestFirst = plan_.victims_;
+        std::stable_sort(dearestFirst.begin(), dearestFirst.end(), [this](GangIndex one, GangIndex other) {
+            return costOf(one) > costOf(other);
+        });
+        for (const auto victim : dearestFirst) {
+            const auto kept = plan_.victims_;
+            std::erase(plan_.victims_, victim);
+            if (fits()) {
+                plan_.cost_ -= costOf(victim).value_or(0);
+            } else {
+                plan_.victims_ = kept;
+            }
+        }
+    }
+
+    [[nodiscard]] auto fits() const -> bool
+    {
+        return std::all_of(plan_.placement_.begin(), plan_.placement_.end(), [this](const WorkerShare &placed) {
+            const auto &record = cluster_->worker(placed.worker_);
+            auto free = record.free();
+            for (const auto &share : record.gangs_) {
+                if (isEvicted(share.gang_)) {
+                    free += resourcesOf(share.task_, share.tasks_);
+                }
+            }
+            return free.covers(resourcesOf(shape_.task_, placed.tasks_));
+        });
+    }
+
+    const ClusterState *cluster_;
+    GangShape shape_;
+    const EvictionCost *costOf_;
+    const WorkerRank *rankOf_;
+    PreemptionPlan plan_;
+    std::vector<Offer> offers_;
+    std::unordered_map<GangIndex, std::optional<double>> costs_;
+};
+
+PreemptionPlanner::PreemptionPlanner(const ClusterState &cluster)
+    : cluster_(&cluster)
+{
+}
+
+auto PreemptionPlanner::plan(const GangShape &shape,
+                             ZoneIndex zone,
+                             const EvictionCost &costOf,
+                             const Placer::WorkerFilter &allows,
+                             const WorkerRank &rankOf) const -> std::optional<PreemptionPlan>
+{
+    const auto &capacity = cluster_->zone(zone);
+    const auto &all = shape.task_.accelerators_ > 0 ? capacity.acceleratorWorkers_ : capacity.workers_;
+    std::vector<WorkerIndex> workers;
+    for (const auto worker : all) {
+        if (cluster_->worker(worker).isUsable() && (!allows || allows(worker))) {
+            workers.push_back(worker);
+        }
+        if (shape.task_.accelerators_ == 0 && workers.size() >= MaxCoreWorkers) {
+            break;
+        }
+    }
+    const auto isOneWorker = shape.adjacency_ == Adjacency::Worker;
+    const auto searched = isOneWorker ? GangShape{resourcesOf(shape.task_, shape.tasks_), 1, Adjacency::None} : shape;
+    if (shape.adjacency_ != Adjacency::Rack) {
+        auto plan = Search(*cluster_, searched, costOf, rankOf).run(workers);
+        if (plan && isOneWorker) {
+            plan->placement_.front().tasks_ = shape.tasks_;
+        }
+        return plan;
+    }
+    std::map<RackIndex, std::vector<WorkerIndex>> racks;
+    for (const auto worker : workers) {
+        racks[cluster_->worker(worker).rack_].push_back(worker);
+    }
+    std::optional<PreemptionPlan> cheapest;
+    for (const auto &[rack, members] : racks) {
+        auto plan = Search(*cluster_, searched, costOf, rankOf).run(members);
+        if (plan && (!cheapest || plan->cost_ < cheapest->cost_)) {
+            cheapest = std::move(plan);
+        }
+    }
+    return cheapest;
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/evictionpolicy.cpp
@@ -0,0 +1,83 @@
+#include "marjoramfold/scheduling/evictionpolicy.h"
+
+#include <algorithm>
+
+namespace Marjoramfold
+{
+namespace
+{
+// Time between the stop of a gang and its next start in which it computes nothing, besides its grace.
+constexpr std::chrono::duration<double> RestartTime{2.0};
+
+// Urgent work is evicted for guaranteed work only when nothing else makes room.
+constexpr double UrgentFactor = 100.0;
+
+// A gang runs at least this long before it is evicted for work without a right, so that no two jobs displace each other in turn.
+constexpr std::chrono::seconds MinStay{120};
+
+// Run time left of a job that outran its expectation, as a part of what it ran.
+constexpr int OverrunDivisor = 4;
+
+// Cores that count as much as one accelerator in the cost of an eviction.
+constexpr double CoresPerAccelerator = 16.0;
+} // namespace
+
+EvictionPolicy::EvictionPolicy(const SchedulerState &state)
+    : state_(&state)
+{
+}
+
+auto EvictionPolicy::canSave(const JobRecord &job) const -> bool
+{
+    return job.spec_.checkpointable_ && job.spec_.grace_ <= state_->options_.maxPreemptionGrace_;
+}
+
+// A job that outran its expectation is taken to need a share of what it already ran.
+auto EvictionPolicy::timeLeft(const JobRecord &job) const -> std::chrono::milliseconds
+{
+    const auto hasRun = job.phase_ == GangPhase::Running || job.phase_ == GangPhase::Confirming;
+    const auto ranNow = hasRun ? std::chrono::duration_cast<std::chrono::milliseconds>(state_->now_ - job.runningSince_) : std::chrono::milliseconds(0);
+    const auto ran = job.progress_ + ranNow;
+    return std::max(job.expected_ - ran, ran / OverrunDivisor);
+}
+
+auto EvictionPolicy::lostTime(const JobRecord &job) const -> std::chrono::duration<double>
+{
+    const auto hasRun = job.phase_ == GangPhase::Running || job.phase_ == GangPhase::Confirming;
+    if (!hasRun) {
+        return RestartTime;
+    }
+    if (canSave(job)) {
+        return RestartTime + job.spec_.grace_;
+    }
+    return RestartTime + (state_->now_ - job.runningSince_);
+}
+
+auto EvictionPolicy::lostWork(const JobRecord &job) const -> double
+{
+    const auto width = job.reserved_.accelerators_ + job.reserved_.cores_ / CoresPerAccelerator;
+    return lostTime(job).count() * width * job.spec_.gangSize_;
+}
+
+auto EvictionPolicy::costForRight(GangIndex gang, bool claimantIsUrgent) const -> std::optional<double>
+{
+    const auto &job = state_->jobs_.at(gang);
+    if (job.phase_ == GangPhase::Stopping) {
+        return 0.0;
+    }
+    if (job.guaranteed_ || (job.isUrgent() && claimantIsUrgent)) {
+        return std::nullopt;
+    }
+    return lostWork(job) * (job.isUrgent() ? UrgentFactor : 1.0);
+}
+
+auto EvictionPolicy::costForExchange(GangIndex gang) const -> std::optional<double>
+{
+    const auto &job = state_->jobs_.at(gang);
+    if (job.phase_ == GangPhase::Stopping) {
+        return 0.0;
+    }
+    const auto mayGo = job.phase_ == GangPhase::Running && !job.guaranteed_ && !job.isUrgent() && canSave(job) && state_->now_ - job.runningSince_ >= MinStay;
+    return mayGo ? std::optional(lostWork(job)) : std::nullopt;
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/evictionpolicy.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "marjoramfold/scheduling/schedulerstate.h"
+
+#include <chrono>
+#include <optional>
+
+namespace Marjoramfold
+{
+/// What the eviction of a gang would lose, and which gangs must stay.
+class EvictionPolicy
+{
+public:
+    explicit EvictionPolicy(const SchedulerState &state);
+
+    /// Lost work in accelerator-seconds for a claimant with a right to the workers; nothing for guaranteed work, or for urgent work when
+    /// the claimant is urgent itself.
+    [[nodiscard]] auto costForRight(GangIndex gang, bool claimantIsUrgent) const -> std::optional<double>;
+
+    /// Lost work in accelerator-seconds; nothing for gangs that are not worth an eviction without a right: those that would lose their
+    /// work, started lately, or are urgent.
+    [[nodiscard]] auto costForExchange(GangIndex gang) const -> std::optional<double>;
+
+    /// Expected run time that a gang still needs.
+    [[nodiscard]] auto timeLeft(const JobRecord &job) const -> std::chrono::milliseconds;
+
+    /// Run time that an eviction loses.
+    [[nodiscard]] auto lostTime(const JobRecord &job) const -> std::chrono::duration<double>;
+
+    /// Whether an eviction with the longest allowed grace keeps the progress.
+    [[nodiscard]] auto canSave(const JobRecord &job) const -> bool;
+
+private:
+    [[nodiscard]] auto lostWork(const JobRecord &job) const -> double;
+
+    const SchedulerState *state_;
+};
+} // namespace Marjoramfold
--- a/marjoramfold/scheduling/gangreservations.cpp
+++ b/marjoramfold/scheduling/gangreservations.cpp
@@ -60,6 +60,7 @@
     member.state_ = state;
     --job.holding_;
     state_->cluster_.release(member.worker_, job.index_, job.reserved_);
+    state_->freedWorkers_.push_back(member.worker_);
     state_->teamUse_[job.spec_.team_] -= job.reserved_.accelerators_;
     if (job.guaranteed_) {
         state_->ledger_.refund(job.zone_, job.spec_.team_, member.worker_, job.reserved_.accelerators_);
@@ -67,6 +68,7 @@
     if (job.holding_ == 0 && job.reserved_.accelerators_ > 0) {
         std::erase(state_->teamGangs_[job.spec_.team_], job.index_);
         promote(job.zone_, job.spec_.team_);
+        state_->teamsToCheck_.insert(job.spec_.team_);
     }
 }
 
--- a/marjoramfold/scheduling/gangstarter.cpp
+++ b/marjoramfold/scheduling/gangstarter.cpp
@@ -8,6 +8,9 @@
 {
 namespace
 {
+// Time beyond the longest grace after which a gang gives up waiting for the gangs that it evicted.
+constexpr std::chrono::milliseconds ClaimReserve{3'000};
+
 // Time for all Hold answers. Half of the 5 s hold lease, so that a Start still finds its Hold in force.
 constexpr std::chrono::milliseconds HoldDeadline{2'500};
 
@@ -35,10 +38,45 @@
     reservations_->take(job, zone, placement, guaranteed);
     job.state_ = JobState::Starting;
     job.reason_ = "its members are being started";
+    if (hasRoom(job)) {
+        holdAll(job);
+    } else {
+        enter(job, GangPhase::Claiming, state_->options_.maxPreemptionGrace_ + ClaimReserve);
+    }
+}
+
+auto GangStarter::advanceClaims() -> void
+{
+    const auto freed = std::move(state_->freedWorkers_);
+    state_->freedWorkers_.clear();
+    for (const auto worker : freed) {
+        const auto shares = state_->cluster_.worker(worker).gangs_;
+        for (const auto &share : shares) {
+            auto &job = state_->jobs_.at(share.gang_);
+            if (job.phase_ == GangPhase::Claiming && hasRoom(job)) {
+                holdAll(job);
+            }
+        }
+    }
+}
+
+auto GangStarter::holdAll(JobRecord &job) -> void
+{
+    if (!state_->zones_[job.zone_].mayStart()) {
+        stopper_->stop(job, {JobState::Waiting, "starts are held back in its availability zone", std::nullopt, {}, false});
+        return;
+    }
     enter(job, GangPhase::Holding, HoldDeadline);
     sendToAll(job, TaskCommandKind::Hold, state_->options_.holdLease_);
 }
 
+auto GangStarter::hasRoom(const JobRecord &job) const -> bool
+{
+    return std::all_of(job.members_.begin(), job.members_.end(), [this](const GangMember &member) {
+        return state_->cluster_.worker(member.worker_).free().covers({});
+    });
+}
+
 auto GangStarter::onResult(JobRecord &job, std::size_t member, const TaskCommandResult &result) -> void
 {
     if (result.error_) {
@@ -88,6 +126,10 @@
 
 auto GangStarter::onTimer(JobRecord &job) -> void
 {
+    if (job.phase_ == GangPhase::Claiming) {
+        stopper_->stop(job, {JobState::Waiting, "the workers chosen for it did not become free in time", std::nullopt, {}, false});
+        return;
+    }
     giveUp(job, "a worker did not answer in time while the gang was started");
 }
 
--- a/marjoramfold/scheduling/gangstarter.h
+++ b/marjoramfold/scheduling/gangstarter.h
@@ -15,9 +15,12 @@
 
     auto setRunningHook(RunningHook hook) -> void;
 
-    /// Reserves a placement and sends the Hold commands.
+    /// Reserves a placement and sends the Hold commands, at once or when the gangs that were evicted for it are gone.
     auto begin(JobRecord &job, ZoneIndex zone, const GangPlacement &placement, bool guaranteed) -> void;
 
+    /// Sends the Hold commands of gangs that waited for the workers freed during the present event.
+    auto advanceClaims() -> void;
+
     /// Takes a worker's answer to a Hold or Start, or to the Renew that confirms a gang.
     auto onResult(JobRecord &job, std::size_t member, const TaskCommandResult &result) -> void;
 
@@ -35,6 +38,8 @@
 
 private:
     auto advance(JobRecord &job) -> void;
+    auto holdAll(JobRecord &job) -> void;
+    [[nodiscard]] auto hasRoom(const JobRecord &job) const -> bool;
     auto startAll(JobRecord &job) -> void;
     auto confirmAll(JobRecord &job) -> void;
     auto sendToAll(JobRecord &job, TaskCommandKind kind, std::chrono::milliseconds lease) -> void;
--- a/marjoramfold/scheduling/gangstopper.cpp
+++ b/marjoramfold/scheduling/gangstopper.cpp
@@ -35,6 +35,7 @@
         }
         return;
     }
+    const auto hasSentNothing = job.phase_ == GangPhase::Claiming;
     if (job.phase_ == GangPhase::Running) {
         state_->runningTasks_[job.zone_] -= static_cast<int>(job.members_.size());
     }
@@ -44,7 +45,9 @@
     job.afterStop_ = std::move(afterStop);
     job.reason_ = job.afterStop_.reason_;
     for (std::size_t i = 0; i < job.members_.size(); ++i) {
-        if (job.members_[i].holdsResources()) {
+        if (hasSentNothing) {
+            reservations_->releaseMember(job, i, MemberState::Released);
+        } else if (job.members_[i].holdsResources()) {
             job.members_[i].state_ = MemberState::Stopping;
             sendStop(job, i, grace);
         }
--- a/marjoramfold/scheduling/joblifecycle.cpp
+++ b/marjoramfold/scheduling/joblifecycle.cpp
@@ -212,6 +212,7 @@
     case GangPhase::Idle:
         queue_.add(job);
         break;
+    case GangPhase::Claiming:
     case GangPhase::Holding:
     case GangPhase::Starting:
     case GangPhase::Confirming:
@@ -250,8 +251,8 @@
 auto JobLifecycle::onWorkerDown(WorkerIndex worker) -> void
 {
     const auto gangs = state_->cluster_.worker(worker).gangs_;
-    for (const auto &[gang, tasks] : gangs) {
-        stopper_.stop(state_->jobs_.at(gang), {JobState::Waiting, "one of its workers was lost", std::nullopt, {}, false});
+    for (const auto &share : gangs) {
+        stopper_.stop(state_->jobs_.at(share.gang_), {JobState::Waiting, "one of its workers was lost", std::nullopt, {}, false});
     }
 }
 
@@ -284,7 +285,9 @@
 auto JobLifecycle::updateExpectations(JobRecord &job) -> void
 {
     job.reserved_ = job.spec_.task_;
-    job.expected_ = state_->estimator_.runTime(job.spec_).expected_;
+    const auto estimate = state_->estimator_.runTime(job.spec_);
+    job.expected_ = estimate.expected_;
+    job.pessimistic_ = estimate.pessimistic_;
 }
 
 auto JobLifecycle::onRunning(JobRecord &job) -> void
--- a/marjoramfold/scheduling/jobrecord.h
+++ b/marjoramfold/scheduling/jobrecord.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Marjoramfold
@@ -14,6 +15,8 @@
 /// Where a gang stands between its first Hold and the release of its last member.
 enum class GangPhase {
     Idle,
+    /// Has its workers reserved and waits until the gangs evicted for it are gone.
+    Claiming,
     Holding,
     Starting,
     Confirming,
@@ -63,14 +66,16 @@
 
 /// Order of a waiting job; smaller goes first.
 struct QueueKey {
-    int classRank_ = 0;
-    int levelRank_ = 0;
+    bool isDeferrable_ = true;
     double score_ = 0;
     GangIndex job_ = 0;
-
-    auto operator<=>(const QueueKey &) const = default;
 };
 
+[[nodiscard]] inline auto operator<(const QueueKey &one, const QueueKey &other) -> bool
+{
+    return std::tie(one.isDeferrable_, one.score_, one.job_) < std::tie(other.isDeferrable_, other.score_, other.job_);
+}
+
 /// A job and, while it is placed, its gang.
 struct JobRecord {
     JobSpec spec_;
@@ -87,6 +92,8 @@
     Resources reserved_;
     /// Expected run time of the whole job, without what was saved.
     std::chrono::milliseconds expected_{0};
+    /// One standard deviation above the expected run time.
+    std::chrono::milliseconds pessimistic_{0};
     std::optional<QueueKey> queueKey_;
 
     GangPhase phase_ = GangPhase::Idle;
@@ -113,6 +120,12 @@
         return {reserved_, spec_.gangSize_, spec_.adjacency_};
     }
 
+    /// Whether urgent work: it may evict any work that is not guaranteed.
+    [[nodiscard]] auto isUrgent() const -> bool
+    {
+        return spec_.priority_ == PriorityClass::Urgent;
+    }
+
     [[nodiscard]] auto accelerators() const -> int
     {
         return reserved_.accelerators_ * spec_.gangSize_;
--- a/marjoramfold/scheduling/scheduler.cpp
+++ b/marjoramfold/scheduling/scheduler.cpp
@@ -1,5 +1,6 @@
 #include "marjoramfold/scheduling/scheduler.h"
 
+#include "marjoramfold/scheduling/guaranteepass.h"
 #include "marjoramfold/scheduling/joblifecycle.h"
 #include "marjoramfold/scheduling/queuepass.h"
 
@@ -12,7 +13,9 @@
     Impl(std::vector<AvailabilityZoneId> zones, const SchedulerOptions &options)
         : state_(std::move(zones), options)
         , lifecycle_(state_)
-        , queuePass_(state_, lifecycle_)
+        , decisions_(state_, lifecycle_)
+        , guaranteePass_(state_, decisions_)
+        , queuePass_(state_, decisions_)
     {
     }
 
@@ -24,6 +27,8 @@
                 on(concrete);
             },
             event);
+        lifecycle_.starter().advanceClaims();
+        guaranteePass_.run();
         auto commands = std::move(state_.outbox_);
         state_.outbox_.clear();
         return commands;
@@ -63,6 +68,10 @@
     auto on(const JobArrived &event) -> void
     {
         lifecycle_.arrive(event);
+        auto *job = state_.jobs_.find(event.spec_.id_);
+        if (job != nullptr && job->isUrgent() && job->queueKey_) {
+            decisions_.startUrgent(*job);
+        }
     }
 
     auto on(const GangRecovered &event) -> void
@@ -84,12 +93,14 @@
             zone.out_ = rule != event.rules_->zones_.end() && rule->second.state_ == AvailabilityZoneState::Out;
         }
         lifecycle_.onRulesChanged();
+        state_.checkAllTeams();
     }
 
     auto on(const StartGateChanged &event) -> void
     {
         if (const auto zone = state_.findZone(event.zone_)) {
             state_.zones_[*zone].gateOpen_ = event.open_;
+            state_.checkAllTeams();
         }
     }
 
@@ -111,6 +122,7 @@
     {
         lifecycle_.onTick();
         lifecycle_.leases().renewDue();
+        guaranteePass_.retry();
         queuePass_.run();
     }
 
@@ -118,10 +130,13 @@
     {
         const auto &record = state_.cluster_.worker(worker);
         state_.ledger_.setWorker(worker, record.zone_, record.isUsable() ? record.info_.capacity_.accelerators_ : 0);
+        state_.checkAllTeams();
     }
 
     SchedulerState state_;
     JobLifecycle lifecycle_;
+    StartDecisions decisions_;
+    GuaranteePass guaranteePass_;
     QueuePass queuePass_;
 };
 
--- a/marjoramfold/scheduling/schedulerstate.cpp
+++ b/marjoramfold/scheduling/schedulerstate.cpp
@@ -15,6 +15,15 @@
     }
 }
 
+auto SchedulerState::checkAllTeams() -> void
+{
+    for (const auto &[team, waiting] : waitingByTeam_) {
+        if (!waiting.empty()) {
+            teamsToCheck_.insert(team);
+        }
+    }
+}
+
 auto SchedulerState::findZone(const AvailabilityZoneId &zone) const -> std::optional<ZoneIndex>
 {
     for (std::size_t i = 0; i < zones_.size(); ++i) {
--- a/marjoramfold/scheduling/schedulerstate.h
+++ b/marjoramfold/scheduling/schedulerstate.h
@@ -39,6 +39,12 @@
     Estimator estimator_;
     /// Waiting jobs in the order in which they are tried.
     std::set<QueueKey> queue_;
+    /// Waiting jobs that need accelerators, per team.
+    std::unordered_map<TeamId, std::set<QueueKey>> waitingByTeam_;
+    /// Teams whose waiting jobs must be compared with their guarantees.
+    std::set<TeamId> teamsToCheck_;
+    /// Workers on which reservations ended during the present event.
+    std::vector<WorkerIndex> freedWorkers_;
     /// Accelerators in use per team, over all availability zones.
     std::unordered_map<TeamId, int> teamUse_;
     /// Gangs that hold accelerators, per team, in the order in which they started.
@@ -48,6 +54,9 @@
     SteadyTime now_{};
     std::vector<SchedulerCommand> outbox_;
 
+    /// Marks all teams with waiting jobs as to be compared with their guarantees.
+    auto checkAllTeams() -> void;
+
     /// The handle of an availability zone of this scheduler.
     [[nodiscard]] auto findZone(const AvailabilityZoneId &zone) const -> std::optional<ZoneIndex>;
 
--- a/marjoramfold/scheduling/waitingqueue.cpp
+++ b/marjoramfold/scheduling/waitingqueue.cpp
@@ -8,22 +8,15 @@
 namespace
 {
 // A job overtakes one of half its expected work that was submitted this much later. Small values approach arrival order.
-constexpr std::chrono::duration<double> AgingPerDoubling{3'600.0};
+constexpr std::chrono::duration<double> AgingPerDoubling{1200.0};
 
 constexpr double MinExpectedSeconds = 1.0;
 
-auto classRank(PriorityClass priority) -> int
-{
-    switch (priority) {
-    case PriorityClass::Urgent:
-        return 0;
-    case PriorityClass::Normal:
-        return 1;
-    case PriorityClass::Batch:
-        return 2;
-    }
-    return 2;
-}
+// Doublings of expected work by which batch work stands back.
+constexpr double BatchHandicap = 2.0;
+
+// Levels of team priority that outweigh one doubling of expected work. Strict order by level would starve lower teams.
+constexpr double LevelsPerDoubling = 20.0;
 } // namespace
 
 WaitingQueue::WaitingQueue(SchedulerState &state)
@@ -36,36 +29,51 @@
     remove(job);
     job.queueKey_ = keyOf(job);
     state_->queue_.insert(*job.queueKey_);
+    if (job.reserved_.accelerators_ > 0) {
+        state_->waitingByTeam_[job.spec_.team_].insert(*job.queueKey_);
+        state_->teamsToCheck_.insert(job.spec_.team_);
+    }
 }
 
 auto WaitingQueue::remove(JobRecord &job) -> void
 {
     if (job.queueKey_) {
         state_->queue_.erase(*job.queueKey_);
+        if (job.reserved_.accelerators_ > 0) {
+            state_->waitingByTeam_[job.spec_.team_].erase(*job.queueKey_);
+        }
         job.queueKey_.reset();
     }
 }
 
 auto WaitingQueue::rebuild() -> void
 {
-    const auto keys = std::move(state_->queue_);
-    state_->queue_.clear();
+    const auto keys = state_->queue_;
     for (const auto &key : keys) {
-        auto &job = state_->jobs_.at(key.job_);
-        job.queueKey_ = keyOf(job);
-        state_->queue_.insert(*job.queueKey_);
+        add(state_->jobs_.at(key.job_));
     }
 }
 
 // The score compares the logarithm of the expected work plus the time of submission, so it need not be updated while a job waits.
-auto WaitingQueue::keyOf(const JobRecord &job) const -> QueueKey
+auto WaitingQueue::scoreOf(const JobRecord &job) const -> double
 {
-    const auto left = std::chrono::duration<double>(job.expected_ - job.progress_).count();
+    return scoreOf(job, job.expected_ - job.progress_);
+}
+
+auto WaitingQueue::scoreOf(const JobRecord &job, std::chrono::milliseconds timeLeft) const -> double
+{
+    const auto left = std::chrono::duration<double>(timeLeft).count();
     const auto width = std::max(job.accelerators(), 1);
     const auto work = std::max(left, MinExpectedSeconds) * width;
     const auto submitted = std::chrono::duration<double>(job.submitted_.time_since_epoch());
     const auto priority = state_->rules_->priorities_.find(job.spec_.team_);
     const auto level = priority == state_->rules_->priorities_.end() ? 0 : priority->second.level_;
-    return {classRank(job.spec_.priority_), -level, std::log2(work) + submitted / AgingPerDoubling, job.index_};
+    const auto handicap = job.spec_.priority_ == PriorityClass::Batch ? BatchHandicap : 0.0;
+    return std::log2(work) + submitted / AgingPerDoubling + handicap - level / LevelsPerDoubling;
+}
+
+auto WaitingQueue::keyOf(const JobRecord &job) const -> QueueKey
+{
+    return {!job.isUrgent(), scoreOf(job), job.index_};
 }
 } // namespace Marjoramfold
--- a/marjoramfold/scheduling/waitingqueue.h
+++ b/marjoramfold/scheduling/waitingqueue.h
@@ -4,7 +4,7 @@
 
 namespace Marjoramfold
 {
-/// Order of waiting jobs: urgent first, then by class and team priority, then the shortest expected work with aging.
+/// Order of waiting jobs: urgent first, then the shortest expected work, moved by waiting time, class and team priority.
 class WaitingQueue
 {
 public:
@@ -19,6 +19,12 @@
     /// Sorts all waiting jobs again, for example after a change of priorities.
     auto rebuild() -> void;
 
+    /// Logarithm of the expected work left, moved by waiting time and priority; smaller goes first.
+    [[nodiscard]] auto scoreOf(const JobRecord &job) const -> double;
+
+    /// The same for a given run time left.
+    [[nodiscard]] auto scoreOf(const JobRecord &job, std::chrono::milliseconds timeLeft) const -> double;
+
 private:
     [[nodiscard]] auto keyOf(const JobRecord &job) const -> QueueKey;
 
