--- a/marjoramfold/entry/controlplane.cpp
+++ b/marjoramfold/entry/controlplane.cpp
@@ -37,7 +37,7 @@
 {
     return settings.id_.value() + "-" + std::to_string(incarnation);
 }
-}
+} // namespace
 
 ControlPlane::ControlPlane(asio::io_context &context, const EntrySettings &settings, Incarnation incarnation, MetricsRegistry &metrics, Tracer &tracer)
     : context_(context)
@@ -504,23 +504,27 @@
     }
     nextMetrics_ = now + MetricsInterval;
     const auto rules = rules_.inForce();
-    metrics_.gauge({"marjoramfold_rules_version", "Version of the rules in force, an offset of the log.", {}}).at().Set(
-        static_cast<double>(rules ? rules->version_ : Offset(0)));
+    metrics_.gauge({"marjoramfold_rules_version", "Version of the rules in force, an offset of the log.", {}})
+        .at()
+        .Set(static_cast<double>(rules ? rules->version_ : Offset(0)));
     metrics_.gauge({"marjoramfold_start_gate_open", "1 while tasks may start by the freshness of the rules.", {}}).at().Set(gate_.open_ ? 1 : 0);
     metrics_.gauge({"marjoramfold_log_readable", "1 while reads of the platform's log are answered.", {}}).at().Set(rules_.unreachableSince() ? 0 : 1);
-    metrics_.gauge({"marjoramfold_live_peers", "Live entry instances besides this one.", {}}).at().Set(
-        static_cast<double>(peers_.view().livePeers().size()));
-    metrics_.gauge({"marjoramfold_pending_appends", "Records that wait for the answer of the platform's log.", {}}).at().Set(
-        static_cast<double>(jobs_.pendingAppends()));
-    metrics_.gauge({"marjoramfold_peer_sent_bytes", "Bytes of datagrams sent to other instances since the start.", {}}).at().Set(
-        static_cast<double>(peers_.datagrams().sentBytes_));
-    metrics_.gauge({"marjoramfold_peer_received_bytes", "Bytes of datagrams received from other instances since the start.", {}}).at().Set(
-        static_cast<double>(peers_.datagrams().receivedBytes_));
+    metrics_.gauge({"marjoramfold_live_peers", "Live entry instances besides this one.", {}}).at().Set(static_cast<double>(peers_.view().livePeers().size()));
+    metrics_.gauge({"marjoramfold_pending_appends", "Records that wait for the answer of the platform's log.", {}})
+        .at()
+        .Set(static_cast<double>(jobs_.pendingAppends()));
+    metrics_.gauge({"marjoramfold_peer_sent_bytes", "Bytes of datagrams sent to other instances since the start.", {}})
+        .at()
+        .Set(static_cast<double>(peers_.datagrams().sentBytes_));
+    metrics_.gauge({"marjoramfold_peer_received_bytes", "Bytes of datagrams received from other instances since the start.", {}})
+        .at()
+        .Set(static_cast<double>(peers_.datagrams().receivedBytes_));
     if (!rules) {
         return;
     }
     auto &owned = metrics_.gauge({"marjoramfold_availability_zone_owned", "1 while this instance schedules the availability zone.", {"availability_zone"}});
-    auto &waiting = metrics_.gauge({"marjoramfold_waiting_jobs", "Jobs that wait in an availability zone that this instance schedules.", {"availability_zone"}});
+    auto &waiting =
+        metrics_.gauge({"marjoramfold_waiting_jobs", "Jobs that wait in an availability zone that this instance schedules.", {"availability_zone"}});
     for (const auto &[id, rule] : rules->zones_) {
         const auto *runtime = zones_.runtimeOf(id);
         owned.at({id.value()}).Set(runtime != nullptr && runtime->isScheduling() ? 1 : 0);
@@ -585,4 +589,4 @@
 {
     asio::post(context_, std::move(call));
 }
-}
+} // namespace Marjoramfold
--- a/marjoramfold/entry/controlplane.h
+++ b/marjoramfold/entry/controlplane.h
@@ -105,4 +105,4 @@
     SteadyTime drainDeadline_{};
     SteadyTime nextMetrics_{};
 };
-}
+} // namespace Marjoramfold
--- a/marjoramfold/entry/controlviews.cpp
+++ b/marjoramfold/entry/controlviews.cpp
@@ -30,7 +30,7 @@
     int waitingJobs_ = 0;
     int accelerators_ = 0;
 };
-}
+} // namespace
 
 ControlViews::ControlViews(const ControlPlane &control)
     : control_(control)
@@ -132,10 +132,8 @@
         }
     }
     for (const auto &[zone, use] : uses) {
-        json["use"].push_back({{"availability_zone", zone.value()},
-                               {"running_jobs", use.runningJobs_},
-                               {"waiting_jobs", use.waitingJobs_},
-                               {"accelerators", use.accelerators_}});
+        json["use"].push_back(
+            {{"availability_zone", zone.value()}, {"running_jobs", use.runningJobs_}, {"waiting_jobs", use.waitingJobs_}, {"accelerators", use.accelerators_}});
     }
     if (const auto priority = rules->priorities_.find(team); priority != rules->priorities_.end()) {
         json["rules"].push_back(ruleJson(priority->second.line_));
@@ -225,4 +223,4 @@
     }
     return json;
 }
-}
+} // namespace Marjoramfold
--- a/marjoramfold/entry/controlviews.h
+++ b/marjoramfold/entry/controlviews.h
@@ -29,4 +29,4 @@
 
     const ControlPlane &control_;
 };
-}
+} // namespace Marjoramfold
--- a/marjoramfold/entry/entryinstance.cpp
+++ b/marjoramfold/entry/entryinstance.cpp
@@ -17,7 +17,7 @@
 {
     return static_cast<Incarnation>(toUnixMilliseconds(std::chrono::system_clock::now()).count());
 }
-}
+} // namespace
 
 EntryInstance::EntryInstance(asio::io_context &context, const EntrySettings &settings)
     : context_(context)
@@ -130,4 +130,4 @@
     };
     return hooks;
 }
-}
+} // namespace Marjoramfold
--- a/marjoramfold/entry/entryinstance.h
+++ b/marjoramfold/entry/entryinstance.h
@@ -44,4 +44,4 @@
     bool trafficDrained_ = false;
     bool controlDrained_ = false;
 };
-}
+} // namespace Marjoramfold
--- a/marjoramfold/entry/joblog.cpp
+++ b/marjoramfold/entry/joblog.cpp
@@ -71,7 +71,7 @@
     nlohmann::json document_;
     JsonCallback done_;
 };
-}
+} // namespace
 
 JobLog::JobLog(asio::io_context &context, LogClient &log, Clock clock, JobLogHooks hooks)
     : clock_(std::move(clock))
@@ -262,4 +262,4 @@
     }
     return json;
 }
-}
+} // namespace Marjoramfold
--- a/marjoramfold/entry/joblog.h
+++ b/marjoramfold/entry/joblog.h
@@ -69,4 +69,4 @@
 
 /// JSON of a job's status for answers.
 [[nodiscard]] auto statusJson(const JobStatus &status) -> nlohmann::json;
-}
+} // namespace Marjoramfold
--- a/marjoramfold/entry/jobtrace.cpp
+++ b/marjoramfold/entry/jobtrace.cpp
@@ -16,4 +16,4 @@
     std::copy_n(digest.begin() + context.traceId_.size(), context.spanId_.size(), context.spanId_.begin());
     return context;
 }
-}
+} // namespace Marjoramfold
--- a/marjoramfold/entry/jobtrace.h
+++ b/marjoramfold/entry/jobtrace.h
@@ -7,4 +7,4 @@
 {
 /// The trace of a job. It is derived from the job's id, so that every instance that works on the job joins the same trace.
 [[nodiscard]] auto traceOfJob(const JobId &job) -> TraceContext;
-}
+} // namespace Marjoramfold
--- a/marjoramfold/entry/zonescontroller.cpp
+++ b/marjoramfold/entry/zonescontroller.cpp
@@ -28,14 +28,10 @@
     }
     return {};
 }
-}
+} // namespace
 
-ZonesController::ZonesController(asio::io_context &context,
-                                 JobLog &jobs,
-                                 WorkerClient &workers,
-                                 OwnershipCandidate self,
-                                 std::string idPrefix,
-                                 ZonesControllerHooks hooks)
+ZonesController::ZonesController(
+    asio::io_context &context, JobLog &jobs, WorkerClient &workers, OwnershipCandidate self, std::string idPrefix, ZonesControllerHooks hooks)
     : context_(context)
     , jobs_(jobs)
     , workers_(workers)
@@ -401,4 +397,4 @@
 {
     return spec.allowedZones_.empty() || std::find(spec.allowedZones_.begin(), spec.allowedZones_.end(), zone) != spec.allowedZones_.end();
 }
-}
+} // namespace Marjoramfold
--- a/marjoramfold/entry/zonescontroller.h
+++ b/marjoramfold/entry/zonescontroller.h
@@ -105,4 +105,4 @@
     SteadyTime nextOrphanCheck_{};
     bool draining_ = false;
 };
-}
+} // namespace Marjoramfold
--- a/tools/marjoramctl/jobfile.cpp
+++ b/tools/marjoramctl/jobfile.cpp
@@ -42,11 +42,12 @@
         refuseUnknownKeys(
             root_,
             "",
-            {"name", "team", "gang_size", "task", "adjacency", "priority", "declared_run_time_s", "availability_zones", "checkpointable", "grace_s"});
+            {"name", "team", "gang_size", "task", "adjacency", "priority", "declared_run_time_s", "availability_zones", "checkpointable", "grace_s", "payload"});
         std::string team;
         text("team", team);
         spec_.team_ = TeamId(std::move(team));
         text("name", spec_.name_);
+        text("payload", spec_.payload_);
         number(root_, "", "gang_size", spec_.gangSize_);
         readTask();
         word("adjacency", spec_.adjacency_, adjacencyFromString, "none, worker, rack");
