--- a/marjoramfold/entry/controlplane.cpp
+++ b/marjoramfold/entry/controlplane.cpp
@@ -23,13 +23,16 @@
 constexpr std::chrono::milliseconds ReleaseTimeout{5'000};
 
 constexpr std::chrono::milliseconds ExplainTimeout{2'000};
+
+// Three waiting reads, appends, and the commands of a gang start to one worker stay far below this.
+constexpr long MaxControlConnections = 256;
 constexpr std::chrono::milliseconds QueryTimeout{2'000};
 
 /// Connections of the control thread: waiting queries and commands to each worker.
 auto controlHttpOptions() -> HttpClientOptions
 {
     HttpClientOptions options;
-    options.maxConnectionsPerHost_ = 0;
+    options.maxConnectionsPerHost_ = MaxControlConnections;
     return options;
 }
 
@@ -394,7 +397,7 @@
     }
     // A repeat of a submission that is known gets its state.
     if (const auto *status = jobs_.ledger().find(spec.id_)) {
-        done(statusJson(*status));
+        done(jobs_.describe(*status));
         return;
     }
     const auto zone = zones_.chooseZone(spec);
--- a/marjoramfold/entry/controlviews.cpp
+++ b/marjoramfold/entry/controlviews.cpp
@@ -61,7 +61,7 @@
     auto list = nlohmann::json::array();
     const auto &ledger = control_.jobs_.ledger();
     for (const auto &[id, status] : ledger.jobs()) {
-        list.push_back(statusJson(status));
+        list.push_back(control_.jobs_.describe(status));
     }
     return {{"jobs", std::move(list)}};
 }
@@ -72,7 +72,7 @@
     if (status == nullptr) {
         return Error{ErrorKind::NotFound, "no job '" + job.value() + "'", std::nullopt};
     }
-    return statusJson(*status);
+    return control_.jobs_.describe(*status);
 }
 
 auto ControlViews::explainJobHere(const JobId &job) const -> std::optional<nlohmann::json>
@@ -82,7 +82,7 @@
     if (runtime == nullptr) {
         return std::nullopt;
     }
-    auto json = statusJson(*status);
+    auto json = control_.jobs_.describe(*status);
     if (!runtime->isScheduling()) {
         json["reason"] = "the availability zone's new owner takes the inventory of its workers";
         json["needed_change"] = "";
--- a/marjoramfold/entry/joblog.cpp
+++ b/marjoramfold/entry/joblog.cpp
@@ -43,6 +43,15 @@
     return {ErrorKind::MaybeRan, "the platform's log did not answer; ask for the job by its id", RetryAfter};
 }
 
+auto idsJson(const std::vector<WorkerId> &ids) -> nlohmann::json
+{
+    auto json = nlohmann::json::array();
+    for (const auto &id : ids) {
+        json.push_back(id.value());
+    }
+    return json;
+}
+
 /// Answers a caller once for several appends: with the document when all succeeded, else with the first error.
 class AppendJoin
 {
@@ -146,6 +155,7 @@
 auto JobLog::recordDecision(const AvailabilityZoneId &zone, Epoch epoch, const SchedulerCommand &command) -> void
 {
     if (const auto *started = std::get_if<JobStarted>(&command)) {
+        attempts_[started->job_] = started->attempt_;
         JobStartedRecord record{hooks_.newRecordId_(), zone, epoch.claim_, started->job_, started->attempt_, {}};
         record.workers_.resize(started->placements_.size());
         for (const auto &placement : started->placements_) {
@@ -153,19 +163,28 @@
         }
         appendDecision(record, started->job_);
     } else if (const auto *requeued = std::get_if<JobRequeued>(&command)) {
+        attempts_[requeued->job_] = requeued->nextAttempt_;
         appendDecision(
             JobPreemptedRecord{hooks_.newRecordId_(), zone, epoch.claim_, requeued->job_, requeued->nextAttempt_, requeued->progress_, requeued->reason_},
             requeued->job_);
     } else if (const auto *ended = std::get_if<JobEnded>(&command)) {
-        JobFinishedRecord record{hooks_.newRecordId_(), zone, epoch.claim_, ended->job_, ended->state_, ended->reason_, 0, {}};
+        JobFinishedRecord record;
+        record.id_ = hooks_.newRecordId_();
+        record.zone_ = zone;
+        record.epoch_ = epoch.claim_;
+        record.job_ = ended->job_;
+        record.attempt_ = currentAttempt(ended->job_);
+        record.state_ = ended->state_;
+        record.reason_ = ended->reason_;
         if (ended->rule_) {
             record.ruleLine_ = ended->rule_->number_;
             record.ruleText_ = ended->rule_->text_;
         }
         appendDecision(record, ended->job_);
     } else if (const auto *moved = std::get_if<JobReassigned>(&command)) {
-        appendDecision(JobAssignedRecord{hooks_.newRecordId_(), moved->job_, moved->from_, epoch.claim_, moved->to_, moved->nextAttempt_, moved->progress_},
-                       moved->job_);
+        if (const auto *status = ledger_.find(moved->job_)) {
+            appendDecision(makeReassignment(hooks_.newRecordId_(), *status, epoch.claim_, moved->to_, moved->nextAttempt_, moved->progress_), moved->job_);
+        }
     }
 }
 
@@ -222,8 +241,14 @@
         for (const auto &job : ledger_.apply(record.offset_, record.time_, record.record_)) {
             changed.insert(job);
         }
+        noteStart(record);
         hooks_.record_(record);
     }
+    const auto isForgotten = [this](const auto &entry) {
+        return ledger_.find(entry.first) == nullptr;
+    };
+    std::erase_if(starts_, isForgotten);
+    std::erase_if(attempts_, isForgotten);
     if (!changed.empty()) {
         hooks_.jobsChanged_(changed);
     }
@@ -238,22 +263,31 @@
     });
 }
 
-auto statusJson(const JobStatus &status) -> nlohmann::json
+auto JobLog::currentAttempt(const JobId &job) const -> std::uint32_t
+{
+    // The newest decision may not be in the ledger yet.
+    const auto *status = ledger_.find(job);
+    const auto recorded = status == nullptr ? 0 : status->attempt_;
+    const auto decided = attempts_.find(job);
+    return decided == attempts_.end() ? recorded : std::max(recorded, decided->second);
+}
+
+auto JobLog::describe(const JobStatus &status) const -> nlohmann::json
 {
-    auto workers = nlohmann::json::array();
-    for (const auto &worker : status.workers_) {
-        workers.push_back(worker.value());
-    }
     nlohmann::json json{{"id", status.spec_.id_.value()},
                         {"state", toString(status.state_)},
                         {"availability_zone", status.zone_.value()},
                         {"attempt", status.attempt_},
                         {"progress_ms", status.progress_.count()},
-                        {"workers", std::move(workers)},
+                        {"workers", idsJson(status.workers_)},
                         {"reason", status.reason_},
                         {"submitted_ms", toUnixMilliseconds(status.submitted_).count()},
                         {"trace", toHex(traceOfJob(status.spec_.id_).traceId_)},
                         {"job", toJson(status.spec_)}};
+    if (const auto start = starts_.find(status.spec_.id_); start != starts_.end()) {
+        json["started_ms"] = toUnixMilliseconds(start->second.firstStart_).count();
+        json["last_workers"] = idsJson(start->second.lastWorkers_);
+    }
     if (isFinal(status.state_)) {
         json["ended_ms"] = toUnixMilliseconds(status.ended_).count();
     }
@@ -262,4 +296,17 @@
     }
     return json;
 }
+
+auto JobLog::noteStart(const FollowedRecord &record) -> void
+{
+    const auto *started = std::get_if<JobStartedRecord>(&record.record_);
+    if (started == nullptr || ledger_.find(started->job_) == nullptr) {
+        return;
+    }
+    const auto [note, isFirst] = starts_.try_emplace(started->job_);
+    if (isFirst) {
+        note->second.firstStart_ = record.time_;
+    }
+    note->second.lastWorkers_ = started->workers_;
+}
 } // namespace Marjoramfold
--- a/marjoramfold/entry/joblog.h
+++ b/marjoramfold/entry/joblog.h
@@ -6,6 +6,7 @@
 #include "marjoramfold/scheduling/events.h"
 #include "marjoramfold/scheduling/jobledger.h"
 
+#include <map>
 #include <memory>
 #include <set>
 
@@ -51,11 +52,22 @@
     [[nodiscard]] auto confirmedAt() const -> std::optional<SteadyTime>;
     [[nodiscard]] auto unreachableSince() const -> std::optional<SteadyTime>;
 
+    /// JSON of a job for answers: its status, when it first started, and where it last ran.
+    [[nodiscard]] auto describe(const JobStatus &status) const -> nlohmann::json;
+
     /// Records that wait for the log's answer.
     [[nodiscard]] auto pendingAppends() const -> std::size_t;
 
 private:
+    /// What the ledger drops when a gang stops and people still ask for.
+    struct StartNote {
+        WallTime firstStart_;
+        std::vector<WorkerId> lastWorkers_;
+    };
+
+    auto noteStart(const FollowedRecord &record) -> void;
     auto handleRecords(const std::vector<FollowedRecord> &records) -> void;
+    [[nodiscard]] auto currentAttempt(const JobId &job) const -> std::uint32_t;
     auto appendDecision(const Record &record, const JobId &job) -> void;
 
     Clock clock_;
@@ -65,8 +77,8 @@
     LogFollower follower_;
     bool started_ = false;
     std::set<AvailabilityZoneId> snapshotting_;
+    std::map<JobId, StartNote> starts_;
+    /// Attempts of this instance's own decisions.
+    std::map<JobId, std::uint32_t> attempts_;
 };
-
-/// JSON of a job's status for answers.
-[[nodiscard]] auto statusJson(const JobStatus &status) -> nlohmann::json;
 } // namespace Marjoramfold
--- a/tools/marjoramctl/jobfile.cpp
+++ b/tools/marjoramctl/jobfile.cpp
@@ -39,10 +39,19 @@
     auto read(const JobId &id) -> std::variant<JobSpec, JobFileError>
     {
         spec_.id_ = id;
-        refuseUnknownKeys(
-            root_,
-            "",
-            {"name", "team", "gang_size", "task", "adjacency", "priority", "declared_run_time_s", "availability_zones", "checkpointable", "grace_s", "payload"});
+        refuseUnknownKeys(root_,
+                          "",
+                          {"name",
+                           "team",
+                           "gang_size",
+                           "task",
+                           "adjacency",
+                           "priority",
+                           "declared_run_time_s",
+                           "availability_zones",
+                           "checkpointable",
+                           "grace_s",
+                           "payload"});
         std::string team;
         text("team", team);
         spec_.team_ = TeamId(std::move(team));
