--- a/bench/experiment/policies.cpp
+++ b/bench/experiment/policies.cpp
@@ -35,7 +35,8 @@
 
 auto policyNames() -> const std::vector<std::string> &
 {
-    static const std::vector<std::string> Names{"marjoramfold", "no-backfill", "no-compaction", "declared-estimates", "first-fit", "first-fit-skip", "partition"};
+    static const std::vector<std::string> Names{
+        "marjoramfold", "no-backfill", "no-compaction", "declared-estimates", "first-fit", "first-fit-skip", "partition"};
     return Names;
 }
 
--- a/marjoramfold/entry/peercontroller.cpp
+++ b/marjoramfold/entry/peercontroller.cpp
@@ -51,7 +51,7 @@
     }
     return "unknown";
 }
-}
+} // namespace
 
 PeerController::PeerController(asio::io_context &context, const EntrySettings &settings, Incarnation incarnation, PeerControllerHooks hooks)
     : listenAddress_(settings.listenAddress_)
@@ -183,4 +183,4 @@
     };
     return handlers;
 }
-}
+} // namespace Marjoramfold
--- a/marjoramfold/entry/peercontroller.h
+++ b/marjoramfold/entry/peercontroller.h
@@ -81,4 +81,4 @@
     bool fetchingRules_ = false;
     SteadyTime nextRulesFetch_{};
 };
-}
+} // namespace Marjoramfold
--- a/marjoramfold/log/records.cpp
+++ b/marjoramfold/log/records.cpp
@@ -104,24 +104,35 @@
 
 auto encode(const JobAssignedRecord &record) -> Json
 {
-    return {{"type", "job_assigned"},
-            {"job", record.job_.value()},
-            {"from", record.from_.value()},
-            {"epoch", record.epoch_},
-            {"zone", record.zone_.value()},
-            {"attempt", record.attempt_},
-            {"progress_ms", record.progress_.count()}};
+    Json body{{"type", "job_assigned"},
+              {"job", record.job_.value()},
+              {"from", record.from_.value()},
+              {"epoch", record.epoch_},
+              {"zone", record.zone_.value()},
+              {"attempt", record.attempt_},
+              {"progress_ms", record.progress_.count()}};
+    if (record.spec_) {
+        body["spec"] = toJson(*record.spec_);
+        body["submitted_ms"] = toUnixMilliseconds(record.submitted_).count();
+    }
+    return body;
 }
 
 auto decodeJobAssigned(JsonFields &fields) -> Record
 {
-    return JobAssignedRecord{fields.id<RecordId>("id"),
-                             fields.id<JobId>("job"),
-                             AvailabilityZoneId(fields.text("from")),
-                             fields.offset("epoch"),
-                             fields.id<AvailabilityZoneId>("zone"),
-                             readAttempt(fields, "attempt"),
-                             fields.milliseconds("progress_ms")};
+    JobAssignedRecord record;
+    record.id_ = fields.id<RecordId>("id");
+    record.job_ = fields.id<JobId>("job");
+    record.from_ = AvailabilityZoneId(fields.text("from"));
+    record.epoch_ = fields.offset("epoch");
+    record.zone_ = fields.id<AvailabilityZoneId>("zone");
+    record.attempt_ = readAttempt(fields, "attempt");
+    record.progress_ = fields.milliseconds("progress_ms");
+    if (fields.has("spec")) {
+        record.spec_ = readJobSpec(fields, "spec");
+        record.submitted_ = fromUnixMilliseconds(fields.milliseconds("submitted_ms"));
+    }
+    return record;
 }
 
 auto encode(const JobStartedRecord &record) -> Json
@@ -176,6 +187,7 @@
             {"zone", record.zone_.value()},
             {"epoch", record.epoch_},
             {"job", record.job_.value()},
+            {"attempt", record.attempt_},
             {"state", toString(record.state_)},
             {"reason", record.reason_},
             {"rule_line", record.ruleLine_},
@@ -188,6 +200,7 @@
                              fields.id<AvailabilityZoneId>("zone"),
                              fields.offset("epoch"),
                              fields.id<JobId>("job"),
+                             readAttempt(fields, "attempt"),
                              fields.named<JobState>("state", &jobStateFromString),
                              fields.text("reason"),
                              static_cast<int>(fields.integer("rule_line", 0, std::numeric_limits<int>::max())),
--- a/marjoramfold/log/records.h
+++ b/marjoramfold/log/records.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -48,7 +49,8 @@
     JobSpec spec_;
 };
 
-/// A job is given to an availability zone: first by any instance (no from_, epoch 0), later by the owner of the one that gives it up.
+/// A job is given to an availability zone: first by any instance (no from_, epoch 0), later by the owner of the one that gives it
+/// up, with a higher attempt than before, so that a repeat of the record changes nothing.
 struct JobAssignedRecord {
     RecordId id_;
     JobId job_;
@@ -58,6 +60,11 @@
     AvailabilityZoneId zone_;
     std::uint32_t attempt_ = 0;
     std::chrono::milliseconds progress_{0};
+    /// Set when the job moves: the snapshots of two availability zones are decided at different offsets, and a job that moved
+    /// in between would be in neither.
+    std::optional<JobSpec> spec_;
+    /// When the job was submitted, by the log's clock; set together with spec_.
+    WallTime submitted_;
 };
 
 /// A gang runs as a whole.
@@ -71,7 +78,7 @@
     std::vector<WorkerId> workers_;
 };
 
-/// A gang was stopped and the job waits again.
+/// A gang was stopped and the job waits again, with a higher attempt than before.
 struct JobPreemptedRecord {
     RecordId id_;
     AvailabilityZoneId zone_;
@@ -88,6 +95,7 @@
     AvailabilityZoneId zone_;
     Offset epoch_ = 0;
     JobId job_;
+    std::uint32_t attempt_ = 0;
     JobState state_ = JobState::Finished;
     std::string reason_;
     /// Line of the rules file that decided; number 0 for none.
--- a/marjoramfold/scheduling/epochtable.cpp
+++ b/marjoramfold/scheduling/epochtable.cpp
@@ -50,6 +50,11 @@
     return epoch != 0 && prove(zoneOf(zone), epoch);
 }
 
+auto EpochTable::startZone(const AvailabilityZoneId &zone, Offset epoch) -> void
+{
+    zones_[zone] = {{epoch, InstanceId(), {}, false}, true, {}};
+}
+
 auto EpochTable::find(const AvailabilityZoneId &zone) const -> ZoneEpoch
 {
     const auto found = zones_.find(zone);
--- a/marjoramfold/scheduling/epochtable.h
+++ b/marjoramfold/scheduling/epochtable.h
@@ -38,6 +38,9 @@
     /// Learns from a record of an owner that its epoch was in force. Owners write only under an epoch that they have read as valid.
     auto noteEpoch(const AvailabilityZoneId &zone, Offset epoch) -> bool;
 
+    /// Learns the epoch that was in force in an availability zone at the first offset read; 0 when it had none.
+    auto startZone(const AvailabilityZoneId &zone, Offset epoch) -> void;
+
     /// The epoch of an availability zone; epoch 0 when none is known.
     [[nodiscard]] auto find(const AvailabilityZoneId &zone) const -> ZoneEpoch;
 
--- /dev/null
+++ b/marjoramfold/scheduling/jobledger.cpp
@@ -0,0 +1,438 @@
+#include "marjoramfold/scheduling/jobledger.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace Marjoramfold
+{
+namespace
+{
+/// Fraction of the retention time after which a snapshot is written again; leaves three quarters for outages.
+constexpr int SnapshotFraction = 4;
+
+/// The job that a record is about; null for records of other types.
+auto jobOf(const Record &record) -> const JobId *
+{
+    return std::visit(
+        [](const auto &typed) -> const JobId * {
+            using Type = std::decay_t<decltype(typed)>;
+            if constexpr (std::is_same_v<Type, JobSubmittedRecord>) {
+                return &typed.spec_.id_;
+            } else if constexpr (requires { typed.job_; }) {
+                return &typed.job_;
+            } else {
+                return nullptr;
+            }
+        },
+        record);
+}
+} // namespace
+
+auto makeReassignment(
+    RecordId id, const JobStatus &job, Offset epoch, const AvailabilityZoneId &to, std::uint32_t nextAttempt, std::chrono::milliseconds progress)
+    -> JobAssignedRecord
+{
+    const auto attempt = std::max(nextAttempt, job.attempt_ + 1);
+    return {std::move(id), job.spec_.id_, job.zone_, epoch, to, attempt, std::max(progress, job.progress_), job.spec_, job.submitted_};
+}
+
+JobLedger::JobLedger(JobLedgerOptions options)
+    : options_(options)
+{
+}
+
+auto JobLedger::startReading(Offset first) -> void
+{
+    epochs_.startReading(first);
+    jobs_.clear();
+    ended_.clear();
+    newestTime_ = {};
+    readUpTo_ = first;
+    assembler_.clear();
+    snapshots_.clear();
+    kept_.clear();
+    keptRenewals_.clear();
+    inSnapshot_.clear();
+    first_ = first;
+    isWhole_ = first <= 1;
+}
+
+auto JobLedger::apply(Offset offset, WallTime time, const Record &record) -> std::vector<JobId>
+{
+    readUpTo_ = std::max(readUpTo_, offset + 1);
+    std::vector<JobId> changed;
+    if (const auto *part = std::get_if<ZoneSnapshotRecord>(&record)) {
+        if (auto snapshot = assembler_.take(time, *part)) {
+            changed = takeSnapshot(std::move(*snapshot));
+        }
+    } else {
+        if (!isWhole_ && isNeededToRebuild(record)) {
+            kept_.push_back({offset, time, record});
+        }
+        if (auto job = fold(offset, time, record)) {
+            changed.push_back(std::move(*job));
+        }
+    }
+    forgetOld(time);
+    return changed;
+}
+
+auto JobLedger::noteReadUpTo(Offset end) -> void
+{
+    readUpTo_ = std::max(readUpTo_, end);
+}
+
+auto JobLedger::setZones(std::set<AvailabilityZoneId> zones) -> void
+{
+    zones_ = std::move(zones);
+    dropKept();
+}
+
+auto JobLedger::isComplete(const AvailabilityZoneId &zone) const -> bool
+{
+    const auto found = snapshots_.find(zone);
+    return isWhole_ || (found != snapshots_.end() && found->second.decidedUpTo_ >= first_);
+}
+
+auto JobLedger::find(const JobId &job) const -> const JobStatus *
+{
+    const auto found = jobs_.find(job);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+auto JobLedger::jobs() const -> const std::map<JobId, JobStatus> &
+{
+    return jobs_;
+}
+
+auto JobLedger::openJobs(const AvailabilityZoneId &zone) const -> std::vector<JobStatus>
+{
+    std::vector<JobStatus> open;
+    for (const auto &[id, job] : jobs_) {
+        if (job.zone_ == zone && !isFinal(job.state_)) {
+            open.push_back(job);
+        }
+    }
+    return open;
+}
+
+auto JobLedger::unassignedJobs() const -> std::vector<JobStatus>
+{
+    return openJobs(AvailabilityZoneId());
+}
+
+auto JobLedger::snapshot(const AvailabilityZoneId &zone, const std::string &name, nlohmann::json estimates) const -> std::vector<ZoneSnapshotRecord>
+{
+    if (!isComplete(zone)) {
+        return {};
+    }
+    ZoneSnapshot whole{zone, epochs_.find(zone).epoch_, readUpTo_, {}, {}, std::move(estimates)};
+    for (const auto &[id, job] : jobs_) {
+        // Jobs without a zone are in every snapshot, since no owner answers for them yet.
+        if (job.zone_ == zone || job.zone_.isEmpty()) {
+            whole.jobs_.push_back(job);
+        }
+    }
+    return splitSnapshot(std::move(whole), name, options_.maxJobsPerRecord_);
+}
+
+auto JobLedger::mustSnapshot(const AvailabilityZoneId &zone, WallTime now, std::chrono::milliseconds retention) const -> bool
+{
+    const auto found = snapshots_.find(zone);
+    return isComplete(zone) && (found == snapshots_.end() || now - found->second.time_ > retention / SnapshotFraction);
+}
+
+auto JobLedger::estimates(const AvailabilityZoneId &zone) const -> nlohmann::json
+{
+    const auto found = snapshots_.find(zone);
+    return found == snapshots_.end() ? nlohmann::json::object() : found->second.estimates_;
+}
+
+/// Applies a record to the state. Gives the job that it changed.
+auto JobLedger::fold(Offset offset, WallTime time, const Record &record) -> std::optional<JobId>
+{
+    return std::visit(
+        [&](const auto &typed) -> std::optional<JobId> {
+            using Type = std::decay_t<decltype(typed)>;
+            if constexpr (std::is_same_v<Type, ClaimRecord>) {
+                epochs_.apply(offset, typed);
+            } else if constexpr (std::is_same_v<Type, RenewalRecord> || std::is_same_v<Type, ReleaseRecord>) {
+                epochs_.apply(typed);
+            } else if constexpr (requires { foldJob(offset, time, typed); }) {
+                return foldJob(offset, time, typed);
+            }
+            return std::nullopt;
+        },
+        record);
+}
+
+auto JobLedger::foldJob(Offset offset, WallTime time, const JobSubmittedRecord &record) -> std::optional<JobId>
+{
+    JobStatus job;
+    job.spec_ = record.spec_;
+    job.submitted_ = time;
+    job.changedAt_ = offset;
+    const auto isNew = jobs_.emplace(record.spec_.id_, std::move(job)).second;
+    return isNew ? std::optional(record.spec_.id_) : std::nullopt;
+}
+
+auto JobLedger::foldJob(Offset offset, WallTime /*time*/, const JobAssignedRecord &record) -> std::optional<JobId>
+{
+    const auto isFirst = record.from_.isEmpty();
+    if (!isFirst && !isCurrent(record.from_, record.epoch_)) {
+        return std::nullopt;
+    }
+    if (record.spec_ && !isWhole_ && !inSnapshot_.contains(record.job_)) {
+        learnMoved(record);
+    }
+    auto *job = findOpen(record.job_);
+    const auto isRepeat = job != nullptr && (job->zone_ != record.from_ || (!isFirst && record.attempt_ <= job->attempt_));
+    if (job == nullptr || isRepeat) {
+        return std::nullopt;
+    }
+    job->state_ = JobState::Waiting;
+    job->zone_ = record.zone_;
+    job->attempt_ = record.attempt_;
+    job->progress_ = std::max(job->progress_, record.progress_);
+    job->workers_.clear();
+    job->reason_.clear();
+    job->ruleLine_ = 0;
+    job->ruleText_.clear();
+    job->changedAt_ = offset;
+    return record.job_;
+}
+
+/// Learns of a job that moves from its record, when the log lost the submission or an earlier move, so that the job is unknown or
+/// known only by a repeat of an older record. Attempts go up with each move, so a higher one is newer.
+auto JobLedger::learnMoved(const JobAssignedRecord &record) -> void
+{
+    const auto [found, isNew] = jobs_.try_emplace(record.job_);
+    auto &job = found->second;
+    if (record.attempt_ == 0 || isFinal(job.state_) || (!isNew && record.attempt_ <= job.attempt_)) {
+        return;
+    }
+    job.spec_ = *record.spec_;
+    job.submitted_ = record.submitted_;
+    job.zone_ = record.from_;
+    job.attempt_ = record.attempt_ - 1;
+}
+
+auto JobLedger::foldJob(Offset offset, WallTime /*time*/, const JobStartedRecord &record) -> std::optional<JobId>
+{
+    auto *job = findOwned(record.job_, record.zone_, record.epoch_);
+    const auto isRepeat = job != nullptr && (record.attempt_ < job->attempt_ || (record.attempt_ == job->attempt_ && job->state_ == JobState::Running));
+    if (job == nullptr || isRepeat) {
+        return std::nullopt;
+    }
+    job->state_ = JobState::Running;
+    job->attempt_ = record.attempt_;
+    job->workers_ = record.workers_;
+    job->reason_.clear();
+    job->ruleLine_ = 0;
+    job->ruleText_.clear();
+    job->changedAt_ = offset;
+    return record.job_;
+}
+
+auto JobLedger::foldJob(Offset offset, WallTime /*time*/, const JobPreemptedRecord &record) -> std::optional<JobId>
+{
+    auto *job = findOwned(record.job_, record.zone_, record.epoch_);
+    if (job == nullptr || record.nextAttempt_ <= job->attempt_) {
+        return std::nullopt;
+    }
+    job->state_ = JobState::Waiting;
+    job->attempt_ = record.nextAttempt_;
+    job->progress_ = std::max(job->progress_, record.progress_);
+    job->workers_.clear();
+    job->reason_ = record.reason_;
+    job->changedAt_ = offset;
+    return record.job_;
+}
+
+auto JobLedger::foldJob(Offset offset, WallTime time, const JobFinishedRecord &record) -> std::optional<JobId>
+{
+    auto *job = findOwned(record.job_, record.zone_, record.epoch_);
+    // Only a waiting job is parked: a late repeat must not park one that was started since.
+    const auto isLate = job != nullptr && (record.attempt_ < job->attempt_ || (record.state_ == JobState::Parked && job->state_ == JobState::Running));
+    if (job == nullptr || isLate) {
+        return std::nullopt;
+    }
+    job->reason_ = record.reason_;
+    job->ruleLine_ = record.ruleLine_;
+    job->ruleText_ = record.ruleText_;
+    job->changedAt_ = offset;
+    end(*job, record.state_, time);
+    return record.job_;
+}
+
+auto JobLedger::foldJob(Offset offset, WallTime time, const JobCancelledRecord &record) -> std::optional<JobId>
+{
+    auto *job = findOpen(record.job_);
+    if (job == nullptr) {
+        return std::nullopt;
+    }
+    job->reason_ = record.reason_;
+    job->changedAt_ = offset;
+    end(*job, JobState::Cancelled, time);
+    return record.job_;
+}
+
+/// A job that has not ended; null for others.
+auto JobLedger::findOpen(const JobId &job) -> JobStatus *
+{
+    const auto found = jobs_.find(job);
+    return found == jobs_.end() || isFinal(found->second.state_) ? nullptr : &found->second;
+}
+
+/// True when an epoch is in force in an availability zone.
+auto JobLedger::isCurrent(const AvailabilityZoneId &zone, Offset epoch) -> bool
+{
+    epochs_.noteEpoch(zone, epoch);
+    return epoch != 0 && epoch == epochs_.find(zone).epoch_;
+}
+
+/// An open job of an availability zone, for a record of its owner; null when the job is elsewhere or the epoch is not in force.
+auto JobLedger::findOwned(const JobId &job, const AvailabilityZoneId &zone, Offset epoch) -> JobStatus *
+{
+    if (!isCurrent(zone, epoch)) {
+        return nullptr;
+    }
+    auto *found = findOpen(job);
+    return found != nullptr && found->zone_ == zone ? found : nullptr;
+}
+
+/// Puts a job in a final state, or parks it.
+auto JobLedger::end(JobStatus &job, JobState state, WallTime time) -> void
+{
+    job.state_ = state;
+    job.workers_.clear();
+    if (isFinal(state)) {
+        job.ended_ = time;
+        ended_.emplace(time, job.spec_.id_);
+    }
+}
+
+/// Forgets jobs that ended long before a time of the log's clock.
+auto JobLedger::forgetOld(WallTime time) -> void
+{
+    newestTime_ = std::max(newestTime_, time);
+    while (!ended_.empty() && newestTime_ - ended_.begin()->first > options_.keepEnded_) {
+        jobs_.erase(ended_.begin()->second);
+        ended_.erase(ended_.begin());
+    }
+}
+
+/// Remembers a whole snapshot. Rebuilds the state from it when the log lost its beginning.
+auto JobLedger::takeSnapshot(ZoneSnapshot snapshot) -> std::vector<JobId>
+{
+    auto &newest = snapshots_[snapshot.zone_];
+    if (newest.decidedUpTo_ > snapshot.decidedUpTo_) {
+        return {};
+    }
+    const auto isNeeded = !isWhole_ && snapshot.decidedUpTo_ >= first_;
+    if (!isNeeded) {
+        snapshot.jobs_.clear();
+    }
+    newest = std::move(snapshot);
+    if (!isNeeded) {
+        return {};
+    }
+    rebuild();
+    dropKept();
+    std::vector<JobId> changed;
+    for (const auto &[id, job] : jobs_) {
+        changed.push_back(id);
+    }
+    return changed;
+}
+
+/// Derives the state anew from the newest snapshots and the records read.
+auto JobLedger::rebuild() -> void
+{
+    const auto coveredUpTo = loadSnapshots();
+    startEpochs();
+    for (const auto &kept : kept_) {
+        const auto *job = jobOf(kept.record_);
+        const auto covered = job == nullptr ? coveredUpTo.end() : coveredUpTo.find(*job);
+        if (covered == coveredUpTo.end() || kept.offset_ >= covered->second) {
+            fold(kept.offset_, kept.time_, kept.record_);
+        }
+        forgetOld(kept.time_);
+    }
+}
+
+/// Finds the epoch in force at the first offset read, in each availability zone with a snapshot: the snapshot's epoch, or the one
+/// that it followed through the claims read.
+auto JobLedger::startEpochs() -> void
+{
+    epochs_.startReading(first_);
+    std::map<Offset, Offset> superseded;
+    for (const auto &kept : kept_) {
+        if (const auto *claim = std::get_if<ClaimRecord>(&kept.record_)) {
+            superseded.emplace(kept.offset_, claim->supersedes_);
+        }
+    }
+    for (const auto &[zone, snapshot] : snapshots_) {
+        auto epoch = snapshot.epoch_;
+        for (auto found = superseded.find(epoch); found != superseded.end(); found = superseded.find(epoch)) {
+            epoch = found->second;
+        }
+        if (snapshot.decidedUpTo_ >= first_) {
+            epochs_.startZone(zone, epoch);
+        }
+    }
+}
+
+/// Loads the jobs of the newest snapshots. Gives the offset below which each of them needs no records.
+auto JobLedger::loadSnapshots() -> std::map<JobId, Offset>
+{
+    std::map<JobId, Offset> coveredUpTo;
+    inSnapshot_.clear();
+    jobs_.clear();
+    ended_.clear();
+    for (const auto &[zone, snapshot] : snapshots_) {
+        for (const auto &job : snapshot.jobs_) {
+            const auto &id = job.spec_.id_;
+            const auto found = jobs_.find(id);
+            // A job that moved is in two snapshots; the one that knows its later change holds.
+            if (found == jobs_.end() || found->second.changedAt_ <= job.changedAt_) {
+                jobs_[id] = job;
+                inSnapshot_.insert(id);
+                coveredUpTo[id] = std::max(coveredUpTo[id], snapshot.decidedUpTo_);
+            }
+        }
+    }
+    for (const auto &[id, job] : jobs_) {
+        if (isFinal(job.state_)) {
+            ended_.emplace(job.ended_, id);
+        }
+    }
+    return coveredUpTo;
+}
+
+/// True unless the record is a renewal like one that is kept already; renewals are most of the stream.
+auto JobLedger::isNeededToRebuild(const Record &record) -> bool
+{
+    const auto *renewal = std::get_if<RenewalRecord>(&record);
+    return renewal == nullptr || keptRenewals_.emplace(renewal->zone_, renewal->epoch_).second;
+}
+
+/// Drops the records that were kept to rebuild, once every availability zone is complete.
+auto JobLedger::dropKept() -> void
+{
+    const auto isDone = !isWhole_ && !zones_.empty() && std::all_of(zones_.begin(), zones_.end(), [&](const AvailabilityZoneId &zone) {
+        return isComplete(zone);
+    });
+    if (!isDone) {
+        return;
+    }
+    isWhole_ = true;
+    kept_.clear();
+    keptRenewals_.clear();
+    inSnapshot_.clear();
+    for (auto &[zone, snapshot] : snapshots_) {
+        snapshot.jobs_.clear();
+    }
+}
+} // namespace Marjoramfold
