--- a/marjoramfold/entry/zoneruntime.cpp
+++ b/marjoramfold/entry/zoneruntime.cpp
@@ -396,7 +396,7 @@
     const auto traceparent = hooks_.traceparentOf_(commands.front().task_.job_);
     client_.send(addressOf(worker), batch, traceparent, [weak = weak_from_this(), worker, commands](Result<std::vector<WorkerCommandResult>> results) {
         if (const auto self = weak.lock()) {
-            self->handleResults(worker, commands, std::move(results));
+            self->handleResults(worker, commands, std::move(results), false);
         }
     });
 }
@@ -419,7 +419,8 @@
     }
     client_.send(addressOf(renewals.worker_), batch, "", [weak = weak_from_this(), worker = renewals.worker_, commands](auto results) {
         if (const auto self = weak.lock()) {
-            self->handleResults(worker, commands, std::move(results));
+            // Of the regular renewals the scheduler only wants to know those that failed.
+            self->handleResults(worker, commands, std::move(results), true);
         }
     });
 }
@@ -460,7 +461,10 @@
     return sent;
 }
 
-auto ZoneRuntime::handleResults(const WorkerId &worker, const std::vector<TaskCommand> &commands, Result<std::vector<WorkerCommandResult>> results) -> void
+auto ZoneRuntime::handleResults(const WorkerId &worker,
+                                const std::vector<TaskCommand> &commands,
+                                Result<std::vector<WorkerCommandResult>> results,
+                                bool onlyFailures) -> void
 {
     if (closed_) {
         return;
@@ -477,8 +481,7 @@
     }
     const auto &list = valueOf(results);
     for (std::size_t i = 0; i < list.size(); ++i) {
-        // The scheduler only waits for renewals that failed.
-        if (commands[i].kind_ != TaskCommandKind::Renew || list[i].error_) {
+        if (!onlyFailures || list[i].error_) {
             reportResult(commands[i], worker, list[i].error_, list[i].progress_);
         }
     }
--- a/marjoramfold/entry/zoneruntime.h
+++ b/marjoramfold/entry/zoneruntime.h
@@ -75,7 +75,8 @@
     auto sendRenewals(const RenewLeases &renewals) -> void;
     auto sendProbe(const ProbeWorker &probe) -> void;
     auto toWorkerCommand(const TaskCommand &command, SteadyTime now) -> WorkerCommand;
-    auto handleResults(const WorkerId &worker, const std::vector<TaskCommand> &commands, Result<std::vector<WorkerCommandResult>> results) -> void;
+    auto handleResults(const WorkerId &worker, const std::vector<TaskCommand> &commands, Result<std::vector<WorkerCommandResult>> results, bool onlyFailures)
+        -> void;
     auto reportResult(const TaskCommand &command, const WorkerId &worker, std::optional<Error> error, std::chrono::milliseconds progress) -> void;
     [[nodiscard]] auto addressOf(const WorkerId &worker) const -> std::string;
 
--- a/marjoramfold/log/jsonfields.cpp
+++ b/marjoramfold/log/jsonfields.cpp
@@ -59,8 +59,9 @@
 
 auto JsonFields::milliseconds(const char *name) -> std::chrono::milliseconds
 {
-    // Bounded so that sums of a few durations do not overflow.
-    return std::chrono::milliseconds(integer(name, 0, std::numeric_limits<std::int64_t>::max() / 1'000'000'000));
+    // The clocks count nanoseconds in 64 bits: a time of day up to the year 2116 still leaves room for sums.
+    constexpr std::int64_t MaxMilliseconds = std::numeric_limits<std::int64_t>::max() / 2'000'000;
+    return std::chrono::milliseconds(integer(name, 0, MaxMilliseconds));
 }
 
 auto JsonFields::boolean(const char *name) -> bool
