--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -33,7 +33,9 @@
 # Publishes the demonstration's rules with one availability zone in a given state.
 publish_zone_state() {
     sed "/^availability_zone\.$2 /s/state = \"[a-z]*\"/state = \"$3\"/" "examples/$1/demo-rules.toml" >"$fleet/rules.toml"
-    ctl rules publish "$fleet/rules.toml"
+    local version
+    version=$(ctl --json rules show | jq .version)
+    ctl rules publish "--base_version=$version" --author=demo "$fleet/rules.toml"
 }
 
 print_jobs() {
@@ -56,7 +58,7 @@
     scripts/fleet.sh start "$fleet" "$deployment" 2 3 1
     entries=$(paste -sd, "$fleet/entries")
     echo "-- publishing examples/$deployment/demo-rules.toml"
-    ctl rules publish "examples/$deployment/demo-rules.toml"
+    ctl rules publish --base_version=0 --author=demo "examples/$deployment/demo-rules.toml"
     for _ in $(seq 100); do
         [ "$(ctl --json status | jq '[.availability_zones[] | select(.owner != "")] | length')" = 4 ] && break
         sleep 0.2
@@ -84,7 +86,7 @@
     publish_zone_state "$deployment" "$zone" in
 
     while read -r id; do
-        ctl job wait "$id" --wait=60s >/dev/null || broken_promise "job $id did not finish"
+        ctl job wait --wait_s=60 "$id" >/dev/null || broken_promise "job $id did not finish"
     done <"$fleet/jobs"
     wait "$load_pid" || broken_promise "the load tool failed: $(tail -n 3 "$fleet/load.log")"
 
