--- a/marjoramfold/membership/membershipoptions.h
+++ b/marjoramfold/membership/membershipoptions.h
@@ -28,7 +28,7 @@
     std::chrono::milliseconds digestInterval_{1'000};
     /// Interval of reports to the delegate while nothing changes.
     std::chrono::milliseconds reportInterval_{2'000};
-    std::chrono::milliseconds antiEntropyInterval_{2'000};
+    std::chrono::milliseconds antiEntropyInterval_{4'000};
     /// Interval of attempts to reach instances that are dead or not known yet, so that partitions heal.
     std::chrono::milliseconds contactInterval_{2'000};
     /// A longer gap between two calls means that this process was paused.
@@ -41,9 +41,10 @@
     std::chrono::seconds endedRetention_{600};
 
     /// Members of the same availability zone that each instance sends heartbeats to: the next ones by id, in a circle.
-    /// Three must fail together with the sender before its death is noticed late; a bounded number keeps the traffic of an
-    /// instance independent of the size of its zone.
-    std::size_t monitors_ = 3;
+    /// A bounded number keeps the traffic of an instance independent of the size of its zone. When both monitors fail together
+    /// with the sender, its death is noticed one detection time later, by the next ones. A third monitor would bring the
+    /// delegate of ten zones over 3 KB/s.
+    std::size_t monitors_ = 2;
     /// Third instances that are asked to probe a suspected one.
     std::size_t helpers_ = 2;
     /// Entries in one anti-entropy update.
--- a/marjoramfold/membership/peermessages.h
+++ b/marjoramfold/membership/peermessages.h
@@ -101,12 +101,10 @@
     Unreadable,
 };
 
-/// Summary of an availability zone, made by its delegate.
+/// Summary of an availability zone, made by its delegate: its member with the lowest live id.
 struct ZoneDigest {
     AvailabilityZoneId zone_;
-    InstanceId delegate_;
-    Incarnation delegateIncarnation_ = 0;
-    /// Rises with each digest of a delegate.
+    /// Rises with each digest of a delegate; starts at a number that differs between processes.
     std::uint32_t counter_ = 0;
     /// Time since the delegate made the digest, added up along relays.
     std::chrono::milliseconds age_{0};
@@ -124,16 +122,30 @@
     std::vector<VersionCount> versions_;
 };
 
-/// Sent every heartbeat interval to the monitors of the sender, and as a report to the delegate.
+/// Stands for a digest that differs from an earlier one only in its counter and ages. At ten availability zones whole digests
+/// every second would exceed the budget of a delegate.
+struct DigestRefresh {
+    /// Hash of the zone's name.
+    std::uint32_t zoneKey_ = 0;
+    std::uint32_t counter_ = 0;
+    /// Hash of the fields that are left out.
+    std::uint32_t contentHash_ = 0;
+    std::chrono::milliseconds age_{0};
+    std::optional<std::chrono::milliseconds> confirmationAge_;
+};
+
+/// Sent every heartbeat interval to the monitors of the sender, and with the state as a report to the delegate.
 struct Heartbeat {
     std::uint32_t refutation_ = 0;
     MemberStatus status_ = MemberStatus::Alive;
-    NodeState state_;
+    std::optional<NodeState> state_;
 };
 
 /// Sent by a delegate to the delegates of the other availability zones.
 struct DigestMessage {
-    ZoneDigest digest_;
+    /// One of the two is set.
+    std::optional<ZoneDigest> digest_;
+    std::optional<DigestRefresh> refresh_;
     std::vector<ZoneCapacity> capacities_;
     /// Counter of the newest digest that arrived from the receiver; 0 for none.
     std::uint32_t echoedCounter_ = 0;
@@ -143,10 +155,8 @@
 
 /// Knowledge of the delegate, passed on inside its availability zone.
 struct ZoneGossip {
-    InstanceId delegate_;
-    Incarnation delegateIncarnation_ = 0;
-    std::uint32_t counter_ = 0;
     std::vector<ZoneDigest> digests_;
+    std::vector<DigestRefresh> refreshes_;
     std::vector<ZoneCapacity> capacities_;
 };
 
--- a/marjoramfold/membership/zoneknowledge.h
+++ b/marjoramfold/membership/zoneknowledge.h
@@ -32,8 +32,11 @@
     /// Takes a digest that was made at a time by this instance's clock, unless a newer one is known. True when it was taken.
     auto mergeDigest(const ZoneDigest &digest, SteadyTime madeAt, bool confirmationBounded, SteadyTime now) -> bool;
 
-    /// Takes the newer statement about the capacity of a zone.
-    auto mergeCapacity(const ZoneCapacity &capacity) -> void;
+    /// The whole digest that a refresh stands for; empty when the earlier digest is not known.
+    [[nodiscard]] auto complete(const DigestRefresh &refresh) const -> std::optional<ZoneDigest>;
+
+    /// Takes the newer statement about the capacity of a zone. True when it was newer than the known one.
+    auto mergeCapacity(const ZoneCapacity &capacity) -> bool;
 
     /// The newest digest of a zone, of any age.
     [[nodiscard]] auto find(const AvailabilityZoneId &zone) const -> const KnownDigest *;
@@ -57,6 +60,12 @@
     std::map<AvailabilityZoneId, std::vector<InForceRecord>> inForce_;
 };
 
+/// Hash of what a refresh leaves out of a digest.
+[[nodiscard]] auto contentHash(const ZoneDigest &digest) -> std::uint32_t;
+
+/// What stands for a digest when the receiver knows the rest.
+[[nodiscard]] auto refreshOf(const ZoneDigest &digest) -> DigestRefresh;
+
 /// Lowest version in force among the live instances of a digest; 0 when one has not reported.
 [[nodiscard]] auto lowestVersion(const ZoneDigest &digest) -> Offset;
 
