Keep HTTP client sockets apart from descriptors that libcurl closes itself

Cause: libcurl 7.88 closes a socket whose connection was never made without the close callback. asio then still owned the number, closed it a second time later, and answers crossed between connections of two threads once connects timed out under overload; one request also never ended.

Change: asio owns no descriptor of the client. A socket is kept registered only after its connection is made, and is released before libcurl closes it.

--- a/marjoramfold/http/httpclient.cpp
+++ b/marjoramfold/http/httpclient.cpp
@@ -6,6 +6,8 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cassert>
@@ -66,6 +68,9 @@
         }
         // libcurl closes its idle connections here through onCloseSocket.
         curl_multi_cleanup(multi_);
+        while (!sockets_.empty()) {
+            unwatch(sockets_.begin()->first);
+        }
     }
 
     Impl(const Impl &) = delete;
@@ -104,6 +109,7 @@
         }
         asio::ip::tcp::socket socket_;
         int wanted_ = 0;
+        bool connected_ = false;
         bool reading_ = false;
         bool writing_ = false;
     };
@@ -260,48 +266,65 @@
         }
     }
 
-    /// Called by libcurl to make a socket. asio keeps it registered until it is closed, since libcurl stops and starts watching a
-    /// connection with every request.
+    /// Called by libcurl to make a socket.
     static auto onOpenSocket(void *user, curlsocktype /*purpose*/, curl_sockaddr *address) -> curl_socket_t
     {
-        auto &self = *static_cast<Impl *>(user);
-        auto watched = std::make_shared<WatchedSocket>(self.context_);
-        std::error_code error;
-        watched->socket_.open(address->family == AF_INET6 ? asio::ip::tcp::v6() : asio::ip::tcp::v4(), error);
-        if (error) {
-            return CURL_SOCKET_BAD;
-        }
-        const auto fd = watched->socket_.native_handle();
-        self.sockets_[fd] = std::move(watched);
+        const auto fd = ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+        // A descriptor that is new cannot be watched yet; an old watch of its number would act on the wrong connection.
+        static_cast<Impl *>(user)->unwatch(fd);
         return fd;
     }
 
+    /// Called by libcurl to close a socket that was connected.
     static auto onCloseSocket(void *user, curl_socket_t fd) -> int
     {
-        auto &self = *static_cast<Impl *>(user);
-        const auto found = self.sockets_.find(fd);
-        if (found != self.sockets_.end()) {
-            found->second->wanted_ = 0;
-            std::error_code ignored;
-            found->second->socket_.close(ignored);
-            self.sockets_.erase(found);
-        }
-        return 0;
+        static_cast<Impl *>(user)->unwatch(fd);
+        return ::close(fd);
     }
 
     /// Called by libcurl when it wants to be told of activity on a socket, or no longer.
+    ///
+    /// libcurl starts and stops watching a connection with every request, so that asio keeps a connected socket registered until
+    /// onCloseSocket. A socket that never connected is released at once, since libcurl 7.88 closes it without onCloseSocket; its
+    /// number then soon belongs to another connection, perhaps of another thread.
     static auto onSocketState(CURL * /*easy*/, curl_socket_t fd, int what, void *user, void * /*socketData*/) -> int
     {
         auto &self = *static_cast<Impl *>(user);
         const auto found = self.sockets_.find(fd);
-        if (found == self.sockets_.end()) {
+        if (what == CURL_POLL_REMOVE) {
+            if (found == self.sockets_.end()) {
+                return 0;
+            }
+            found->second->wanted_ = 0;
+            if (!found->second->connected_) {
+                self.unwatch(fd);
+            }
             return 0;
         }
-        found->second->wanted_ = what == CURL_POLL_REMOVE ? 0 : what;
-        self.watch(fd, found->second);
+        auto &watched = self.sockets_[fd];
+        if (!watched) {
+            watched = std::make_shared<WatchedSocket>(self.context_);
+            std::error_code ignored;
+            watched->socket_.assign(asio::ip::tcp::v4(), fd, ignored);
+        }
+        // libcurl waits for answers only on connections that are made.
+        watched->connected_ = watched->connected_ || (what & CURL_POLL_IN) != 0;
+        watched->wanted_ = what;
+        self.watch(fd, watched);
         return 0;
     }
 
+    /// Takes a socket from asio without closing it.
+    auto unwatch(curl_socket_t fd) -> void
+    {
+        const auto found = sockets_.find(fd);
+        if (found != sockets_.end()) {
+            found->second->wanted_ = 0;
+            found->second->socket_.release();
+            sockets_.erase(found);
+        }
+    }
+
     auto watch(curl_socket_t fd, const std::shared_ptr<WatchedSocket> &watched) -> void
     {
         if ((watched->wanted_ & CURL_POLL_IN) != 0 && !watched->reading_) {
--- a/tools/marjoramload/loadthread.cpp
+++ b/tools/marjoramload/loadthread.cpp
@@ -53,10 +53,12 @@
     }
     classes_ = std::discrete_distribution<int>(shares.begin(), shares.end());
     if (options_.rate_ > 0 && !options_.entries_.empty()) {
-        streams_.push_back({false, options_.rate_, 0});
+        streams_.push_back({false, options_.rate_, 0, std::chrono::nanoseconds(0)});
     }
     if (options_.bareRate_ > 0 && !options_.bare_.empty()) {
-        streams_.push_back({true, options_.bareRate_, 0});
+        // Half a step behind, so that no direct request shares its send time with one to an entry and waits for it.
+        const std::chrono::duration<double> halfStep(options_.rate_ > 0 ? 0.5 / options_.rate_ : 0);
+        streams_.push_back({true, options_.bareRate_, 0, std::chrono::duration_cast<std::chrono::nanoseconds>(halfStep)});
     }
 }
 
@@ -110,7 +112,7 @@
 auto LoadThread::intendedTime(const Stream &stream) const -> TimePoint
 {
     const std::chrono::duration<double> offset(static_cast<double>(stream.sent_) / stream.rate_);
-    return start_ + std::chrono::duration_cast<std::chrono::nanoseconds>(offset);
+    return start_ + stream.offset_ + std::chrono::duration_cast<std::chrono::nanoseconds>(offset);
 }
 
 auto LoadThread::sendOne(const Stream &stream, TimePoint intended) -> void
--- a/tools/marjoramload/loadthread.h
+++ b/tools/marjoramload/loadthread.h
@@ -82,6 +82,8 @@
         bool bare_ = false;
         double rate_ = 0;
         std::uint64_t sent_ = 0;
+        /// Intended time of the first request after the start.
+        std::chrono::nanoseconds offset_{0};
     };
 
     auto sendDue() -> void;
