--- a/marjoramfold/rules/ruleline.cpp
+++ b/marjoramfold/rules/ruleline.cpp
@@ -1,6 +1,5 @@
 #include "marjoramfold/rules/ruleline.h"
 
-#define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
 
 #include <algorithm>
@@ -10,6 +9,7 @@
 namespace
 {
 constexpr std::string_view Blanks = " \t";
+constexpr std::string_view RuleForm = "a rule is one key with one inline table, such as priority.TEAM = { level = 60 }";
 
 /// Length of the valid UTF-8 sequence at the start of a text; 0 when it is invalid.
 auto sequenceLength(std::string_view text) -> std::size_t
@@ -39,13 +39,13 @@
            }));
 }
 
-/// Position of the comment sign outside of quoted text, or npos.
-auto findComment(std::string_view line) -> std::size_t
+/// Position of the first of some signs outside of quoted text, or npos.
+auto findOutsideQuotes(std::string_view line, std::string_view signs) -> std::size_t
 {
     auto quote = '\0';
     for (std::size_t i = 0; i < line.size(); ++i) {
         const auto c = line[i];
-        if (quote == '\0' && c == '#') {
+        if (quote == '\0' && signs.find(c) != std::string_view::npos) {
             return i;
         }
         if (quote == '\0' && (c == '"' || c == '\'')) {
@@ -107,11 +107,10 @@
 /// Follows a dotted key down to the inline table of the rule.
 auto readRule(const toml::table &root, int number, RuleSyntax &syntax, std::vector<RuleProblem> &errors) -> bool
 {
-    static constexpr std::string_view Form = "a rule is one key with one inline table, such as priority.TEAM = { level = 60 }";
     const auto *table = &root;
     while (!table->is_inline()) {
         if (table->size() != 1) {
-            errors.push_back({number, 1, std::string(Form)});
+            errors.push_back({number, 1, std::string(RuleForm)});
             return false;
         }
         const auto entry = table->begin();
@@ -122,7 +121,7 @@
         }
         syntax.key_.emplace_back(key.str());
         if (!node.is_table()) {
-            errors.push_back({number, static_cast<int>(node.source().begin.column), std::string(Form)});
+            errors.push_back({number, static_cast<int>(node.source().begin.column), std::string(RuleForm)});
             return false;
         }
         table = node.as_table();
@@ -149,13 +148,21 @@
         errors.push_back({number, *column, "invalid UTF-8 byte"});
         return std::nullopt;
     }
-    const auto commentAt = findComment(line);
+    const auto commentAt = findOutsideQuotes(line, "#");
     const auto hasRule = !trim(line.substr(0, commentAt)).empty();
 
+    // toml++ 3.3 aborts the process on an array that is closed by '}'. Rules have no arrays, so none gets there.
+    const auto arrayAt = findOutsideQuotes(line.substr(0, commentAt), "[");
+    if (arrayAt != std::string_view::npos) {
+        errors.push_back({number, columnAt(line, arrayAt), "a rule has no '[': " + std::string(RuleForm)});
+        return std::nullopt;
+    }
+
     // The TOML parser also checks whole-line comments, for control characters.
-    const toml::parse_result parsed = toml::parse(line);
-    if (!parsed) {
-        const auto &error = parsed.error();
+    toml::table parsed;
+    try {
+        parsed = toml::parse(line);
+    } catch (const toml::parse_error &error) {
         errors.push_back({number, std::max(1, static_cast<int>(error.source().begin.column)), std::string(error.description())});
         return std::nullopt;
     }
@@ -165,7 +172,7 @@
 
     RuleSyntax syntax;
     const auto errorsBefore = errors.size();
-    static_cast<void>(readRule(parsed.table(), number, syntax, errors));
+    static_cast<void>(readRule(parsed, number, syntax, errors));
     const auto askedBy = commentAt == std::string_view::npos ? std::string_view() : askedByOf(line.substr(commentAt));
     if (askedBy.empty()) {
         const auto column = columnAt(line, std::min(commentAt, line.size()));
