--- a/marjoramfold/log/jsonfields.cpp
+++ b/marjoramfold/log/jsonfields.cpp
@@ -59,8 +59,8 @@
 
 auto JsonFields::milliseconds(const char *name) -> std::chrono::milliseconds
 {
-    // Bounded so that sums of a few durations do not overflow.
-    return std::chrono::milliseconds(integer(name, 0, std::numeric_limits<std::int64_t>::max() / 1'000'000'000));
+    // The clocks count nanoseconds in 64 bits; half of their range leaves room for sums.
+    return std::chrono::milliseconds(integer(name, 0, std::numeric_limits<std::int64_t>::max() / 1'000'000 / 2));
 }
 
 auto JsonFields::boolean(const char *name) -> bool
