--- a/marjoramfold/rules/ruleline.cpp
+++ b/marjoramfold/rules/ruleline.cpp
@@ -128,6 +128,17 @@
     }
     return readFields(*table, number, syntax, errors);
 }
+
+/// Parses one line as TOML; a syntax error is added to the errors.
+auto parseToml(std::string_view line, int number, std::vector<RuleProblem> &errors) -> std::optional<toml::table>
+{
+    try {
+        return toml::parse(line);
+    } catch (const toml::parse_error &error) {
+        errors.push_back({number, std::max(1, static_cast<int>(error.source().begin.column)), std::string(error.description())});
+        return std::nullopt;
+    }
+}
 } // namespace
 
 auto findInvalidUtf8(std::string_view line) -> std::optional<int>
@@ -159,11 +170,8 @@
     }
 
     // The TOML parser also checks whole-line comments, for control characters.
-    toml::table parsed;
-    try {
-        parsed = toml::parse(line);
-    } catch (const toml::parse_error &error) {
-        errors.push_back({number, std::max(1, static_cast<int>(error.source().begin.column)), std::string(error.description())});
+    const auto parsed = parseToml(line, number, errors);
+    if (!parsed) {
         return std::nullopt;
     }
     if (!hasRule) {
@@ -172,7 +180,7 @@
 
     RuleSyntax syntax;
     const auto errorsBefore = errors.size();
-    static_cast<void>(readRule(parsed, number, syntax, errors));
+    static_cast<void>(readRule(*parsed, number, syntax, errors));
     const auto askedBy = commentAt == std::string_view::npos ? std::string_view() : askedByOf(line.substr(commentAt));
     if (askedBy.empty()) {
         const auto column = columnAt(line, std::min(commentAt, line.size()));
