--- a/bench/experiment/baselinepolicy.h
+++ b/bench/experiment/baselinepolicy.h
@@ -53,6 +53,8 @@
         std::chrono::milliseconds progress_{0};
         std::vector<Member> members_;
         SteadyTime notBefore_;
+        /// When its leases were renewed last.
+        SteadyTime renewed_;
         int failures_ = 0;
         std::vector<std::size_t> failedWorkers_;
         bool failedByWorker_ = false;
@@ -93,6 +95,8 @@
     auto renewAll() -> void;
     auto stopGang(Job &job, std::chrono::milliseconds grace, const std::string &reason) -> void;
     auto stopGangsOn(std::size_t worker, const std::string &reason) -> void;
+    auto waitForLease(const Job &job, std::size_t member) -> void;
+    auto releaseLostMembers() -> void;
     auto memberGone(Job &job, Member &member) -> void;
     auto gangGone(Job &job) -> void;
     auto noteFailure(Job &job, std::size_t worker) -> void;
@@ -110,6 +114,8 @@
     std::map<QueueKey, JobId> queue_;
     std::map<TeamId, int> used_;
     std::unordered_map<std::size_t, Failures> workerFailures_;
+    /// Members whose workers are lost, by the end of their leases: until then they may still run.
+    std::multimap<SteadyTime, TaskId> lostMembers_;
     /// End of the first backoff of a waiting job.
     SteadyTime nextBackoff_ = SteadyTime::max();
     /// Gangs on each worker.
--- a/bench/experiment/checker.h
+++ b/bench/experiment/checker.h
@@ -90,6 +90,8 @@
         bool waiting_ = false;
         std::optional<SteadyTime> coveredSince_;
         bool counted_ = false;
+        /// A job with a lost member may start again only after that member's lease.
+        SteadyTime notBefore_ = SteadyTime::min();
     };
     /// A gang on the workers.
     struct Gang {
@@ -104,9 +106,12 @@
     auto checkPartial(const FakeTask &task, const FakeAttempt &attempt) -> void;
     auto endPartial(const GangKey &key, Gang &gang) -> void;
     auto workersDisturbed(const Zone &zone) const -> bool;
-    auto isCovered(std::size_t job) const -> bool;
+    /// An availability zone in which the job's team is guaranteed what the job needs and does not use it, if there is one.
+    auto coveringZone(std::size_t job) const -> std::optional<std::size_t>;
+    auto reportWaiting(std::size_t job, std::size_t zone) -> void;
     auto tasksPerShape(const JobSpec &spec, const Guarantee &guarantee) const -> int;
-    auto canFormGuarantees(const Zone &zone) const -> bool;
+    /// Size of an unused guaranteed shape that cannot be formed, or 0.
+    auto missingShape(const Zone &zone) const -> int;
     auto teamIndex(const TeamId &team) -> std::size_t;
 
     const Scenario &scenario_;
--- a/bench/experiment/fakecluster.cpp
+++ b/bench/experiment/fakecluster.cpp
@@ -435,6 +435,8 @@
         if (task.state_ != FakeTaskState::Held) {
             jobs_.failed(task, queue_.now());
         }
+        auto &leaseEnd = jobs_.attemptOf(task).lostLeaseEnd_;
+        leaseEnd = std::max(leaseEnd, task.leaseUntil_);
         remove(task);
     }
     jobs_.workerChanged(index);
--- a/bench/experiment/fakejobs.h
+++ b/bench/experiment/fakejobs.h
@@ -51,6 +51,8 @@
     int finished_ = 0;
     /// True once a member failed or was lost.
     bool failed_ = false;
+    /// End of the last lease of members that were lost with their workers; a policy must take them as running until then.
+    SteadyTime lostLeaseEnd_ = SteadyTime::min();
     /// Progress saved by each member.
     std::vector<std::chrono::milliseconds> saved_;
     std::vector<ComputeStretch> stretches_;
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,7 +1,10 @@
 #include "experiment/policies.h"
+#include "experiment/summary.h"
+#include "experiment/trace.h"
 
 #include <gflags/gflags.h>
 
+#include <fstream>
 #include <iostream>
 
 DEFINE_string(scenario, "agenda-carpatica", "agenda-carpatica, tritura-certo or design-size");
@@ -11,11 +14,24 @@
 DEFINE_bool(json, false, "print one JSON object in one line");
 DEFINE_bool(violations, false, "list violations and unfinished jobs on standard error");
 
+DEFINE_string(trace, "", "job whose events and commands are written to standard error");
+
+DEFINE_string(summarize, "", "file of JSON lines of earlier runs to print as tables instead of a run");
+
 auto main(int argc, char **argv) -> int
 {
     using namespace Marjoramfold;
     gflags::SetUsageMessage("Runs a scheduling policy on a scenario against fakes and reports what it achieved.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (!FLAGS_summarize.empty()) {
+        std::ifstream file(FLAGS_summarize);
+        if (!file) {
+            std::cerr << "cannot read " << FLAGS_summarize << '\n';
+            return 2;
+        }
+        std::cout << summarize(file);
+        return 0;
+    }
     const auto scenario = makeScenario(FLAGS_scenario, FLAGS_seed, FLAGS_scale);
     const auto factory = policyFactory(FLAGS_policy);
     if (!scenario || !factory) {
@@ -26,7 +42,7 @@
         std::cerr << '\n';
         return 2;
     }
-    const auto result = runExperiment(*scenario, *factory);
+    const auto result = runExperiment(*scenario, FLAGS_trace.empty() ? *factory : traced(*factory, JobId(FLAGS_trace), std::cerr));
     std::cout << toJson(*scenario, FLAGS_policy, result).dump(FLAGS_json ? -1 : 2) << '\n';
     if (FLAGS_violations) {
         for (const auto &line : result.violations_.lines_) {
