Add large-job reservations, relocation and compaction

Large gangs starved behind guaranteed small work that was spread over all availability zones. Small jobs now fill the zones from the first, large ones from the last; running gangs move by checkpoint to reserved destinations, both out of the way of large jobs and together so that whole workers become free. The use of a team counts borrowed gangs too when its guarantee is compared.

--- a/marjoramfold/placement/guaranteeledger.cpp
+++ b/marjoramfold/placement/guaranteeledger.cpp
@@ -66,7 +66,21 @@
 {
     const auto &accounts = zones_[zone].accounts_;
     const auto account = accounts.find(team);
-    return account != accounts.end() && accelerators > 0 && account->second.used_ + accelerators <= account->second.accelerators_;
+    return account != accounts.end() && accelerators > 0 && account->second.total_ + accelerators <= account->second.accelerators_;
+}
+
+auto GuaranteeLedger::changeTotalUse(ZoneIndex zone, const TeamId &team, int change) -> void
+{
+    zones_[zone].accounts_[team].total_ += change;
+}
+
+auto GuaranteeLedger::mayPromote(ZoneIndex zone, const TeamId &team, int accelerators) const -> bool
+{
+    const auto &accounts = zones_[zone].accounts_;
+    const auto account = accounts.find(team);
+    // A team that uses more than its guarantee has borrowed work anyway; which of its gangs counts as borrowed then stays as it was.
+    return account != accounts.end() && account->second.total_ <= account->second.accelerators_
+        && account->second.used_ + accelerators <= account->second.accelerators_;
 }
 
 auto GuaranteeLedger::keepsShapes(ZoneIndex zone, const TeamId &team, const GangPlacement &placement, int acceleratorsPerTask) const -> bool
@@ -103,12 +117,6 @@
     return unformableAccelerators(zones_[zone].available_, zones_[zone].unusedShapes_);
 }
 
-auto GuaranteeLedger::guaranteed(ZoneIndex zone, const TeamId &team) const -> int
-{
-    const auto account = zones_[zone].accounts_.find(team);
-    return account == zones_[zone].accounts_.end() ? 0 : account->second.accelerators_;
-}
-
 auto GuaranteeLedger::available(WorkerIndex worker) const -> int
 {
     return worker < workers_.size() ? workers_[worker].available() : 0;
--- a/marjoramfold/placement/guaranteeledger.h
+++ b/marjoramfold/placement/guaranteeledger.h
@@ -28,7 +28,13 @@
     /// Sets the accelerators that a worker offers; 0 when it must not be used.
     auto setWorker(WorkerIndex worker, ZoneIndex zone, int accelerators) -> void;
 
-    /// Whether this many more accelerators are within the team's guarantee in the availability zone.
+    /// Adds to the use of a team in an availability zone, guaranteed or borrowed; the change may be negative.
+    auto changeTotalUse(ZoneIndex zone, const TeamId &team, int change) -> void;
+
+    /// Whether borrowed work of a team that uses this many accelerators may be marked as guaranteed.
+    [[nodiscard]] auto mayPromote(ZoneIndex zone, const TeamId &team, int accelerators) const -> bool;
+
+    /// Whether this many more accelerators are within the team's guarantee in the availability zone, counting all that it uses there.
     [[nodiscard]] auto covers(ZoneIndex zone, const TeamId &team, int accelerators) const -> bool;
 
     /// Whether charging the placement leaves the unused shapes of all teams as formable as they are.
@@ -43,9 +49,6 @@
     /// Accelerators of unused guaranteed shapes that cannot be formed now, for example because workers failed.
     [[nodiscard]] auto unformable(ZoneIndex zone) const -> int;
 
-    /// Accelerators that a team is guaranteed in an availability zone.
-    [[nodiscard]] auto guaranteed(ZoneIndex zone, const TeamId &team) const -> int;
-
     /// Accelerators of a worker that are not held by guaranteed work.
     [[nodiscard]] auto available(WorkerIndex worker) const -> int;
 
@@ -56,7 +59,10 @@
     struct Account {
         int accelerators_ = 0;
         int perWorker_ = 1;
+        /// Accelerators of guaranteed work.
         int used_ = 0;
+        /// Accelerators of all work.
+        int total_ = 0;
 
         [[nodiscard]] auto unusedShapes() const -> int
         {
--- a/marjoramfold/scheduling/evictionpolicy.cpp
+++ b/marjoramfold/scheduling/evictionpolicy.cpp
@@ -12,6 +12,9 @@
 // Urgent work is evicted for guaranteed work only when nothing else makes room.
 constexpr double UrgentFactor = 100.0;
 
+// A large gang is hard to place again, so it goes only when small ones do not make room.
+constexpr double LargeFactor = 10.0;
+
 // A gang runs at least this long before it is evicted for work without a right, so that no two jobs displace each other in turn.
 constexpr std::chrono::seconds MinStay{120};
 
@@ -62,22 +65,33 @@
 auto EvictionPolicy::costForRight(GangIndex gang, bool claimantIsUrgent) const -> std::optional<double>
 {
     const auto &job = state_->jobs_.at(gang);
+    // The destination of a moving gang does not become free.
+    if (job.destination_) {
+        return std::nullopt;
+    }
     if (job.phase_ == GangPhase::Stopping) {
         return 0.0;
     }
     if (job.guaranteed_ || (job.isUrgent() && claimantIsUrgent)) {
         return std::nullopt;
     }
-    return lostWork(job) * (job.isUrgent() ? UrgentFactor : 1.0);
+    return lostWork(job) * (job.isUrgent() ? UrgentFactor : 1.0) * (job.isLarge() ? LargeFactor : 1.0);
+}
+
+auto EvictionPolicy::mayInterrupt(const JobRecord &job) const -> bool
+{
+    return job.phase_ == GangPhase::Running && !job.isUrgent() && canSave(job) && state_->now_ - job.runningSince_ >= MinStay;
 }
 
 auto EvictionPolicy::costForExchange(GangIndex gang) const -> std::optional<double>
 {
     const auto &job = state_->jobs_.at(gang);
+    if (job.destination_) {
+        return std::nullopt;
+    }
     if (job.phase_ == GangPhase::Stopping) {
         return 0.0;
     }
-    const auto mayGo = job.phase_ == GangPhase::Running && !job.guaranteed_ && !job.isUrgent() && canSave(job) && state_->now_ - job.runningSince_ >= MinStay;
-    return mayGo ? std::optional(lostWork(job)) : std::nullopt;
+    return !job.guaranteed_ && mayInterrupt(job) ? std::optional(lostWork(job)) : std::nullopt;
 }
 } // namespace Marjoramfold
--- a/marjoramfold/scheduling/evictionpolicy.h
+++ b/marjoramfold/scheduling/evictionpolicy.h
@@ -30,9 +30,13 @@
     /// Whether an eviction with the longest allowed grace keeps the progress.
     [[nodiscard]] auto canSave(const JobRecord &job) const -> bool;
 
-private:
+    /// Lost work in accelerator-seconds of an eviction or move.
     [[nodiscard]] auto lostWork(const JobRecord &job) const -> double;
 
+    /// Whether a gang may be interrupted for work without a right: it runs, loses nothing, and did not start lately.
+    [[nodiscard]] auto mayInterrupt(const JobRecord &job) const -> bool;
+
+private:
     const SchedulerState *state_;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/scheduling/gangreservations.cpp
+++ b/marjoramfold/scheduling/gangreservations.cpp
@@ -28,6 +28,47 @@
     promote(zone, job.spec_.team_);
 }
 
+auto GangReservations::takeDestination(JobRecord &job, Destination destination) -> void
+{
+    job.destination_ = std::move(destination);
+    changeDestination(job, true);
+}
+
+auto GangReservations::dropDestination(JobRecord &job) -> void
+{
+    if (job.destination_) {
+        changeDestination(job, false);
+        job.destination_.reset();
+    }
+}
+
+auto GangReservations::enterDestination(JobRecord &job) -> void
+{
+    const auto destination = *job.destination_;
+    dropDestination(job);
+    take(job, destination.zone_, destination.placement_, destination.guaranteed_);
+    promote(destination.zone_, job.spec_.team_);
+}
+
+auto GangReservations::changeDestination(const JobRecord &job, bool take) -> void
+{
+    const auto accelerators = job.destination_->guaranteed_ ? job.reserved_.accelerators_ : 0;
+    const auto &team = job.spec_.team_;
+    state_->ledger_.changeTotalUse(job.destination_->zone_, team, (take ? 1 : -1) * job.accelerators());
+    for (const auto &share : job.destination_->placement_) {
+        for (auto i = 0; i < share.tasks_; ++i) {
+            if (take) {
+                state_->cluster_.reserve(share.worker_, job.index_, job.reserved_);
+                state_->ledger_.charge(job.destination_->zone_, team, share.worker_, accelerators);
+            } else {
+                state_->cluster_.release(share.worker_, job.index_, job.reserved_);
+                state_->ledger_.refund(job.destination_->zone_, team, share.worker_, accelerators);
+                state_->freedWorkers_.push_back(share.worker_);
+            }
+        }
+    }
+}
+
 auto GangReservations::open(JobRecord &job, ZoneIndex zone, bool guaranteed) -> void
 {
     job.zone_ = zone;
@@ -46,6 +87,7 @@
     ++job.holding_;
     state_->cluster_.reserve(worker, job.index_, job.reserved_);
     state_->teamUse_[job.spec_.team_] += job.reserved_.accelerators_;
+    state_->ledger_.changeTotalUse(job.zone_, job.spec_.team_, job.reserved_.accelerators_);
     if (job.guaranteed_) {
         state_->ledger_.charge(job.zone_, job.spec_.team_, worker, job.reserved_.accelerators_);
     }
@@ -62,6 +104,7 @@
     state_->cluster_.release(member.worker_, job.index_, job.reserved_);
     state_->freedWorkers_.push_back(member.worker_);
     state_->teamUse_[job.spec_.team_] -= job.reserved_.accelerators_;
+    state_->ledger_.changeTotalUse(job.zone_, job.spec_.team_, -job.reserved_.accelerators_);
     if (job.guaranteed_) {
         state_->ledger_.refund(job.zone_, job.spec_.team_, member.worker_, job.reserved_.accelerators_);
     }
@@ -77,7 +120,7 @@
     for (const auto index : state_->teamGangs_[team]) {
         auto &job = state_->jobs_.at(index);
         const auto isBorrowed = job.zone_ == zone && !job.guaranteed_ && job.phase_ != GangPhase::Stopping;
-        if (isBorrowed && state_->ledger_.covers(zone, team, job.accelerators())) {
+        if (isBorrowed && state_->ledger_.mayPromote(zone, team, job.accelerators())) {
             markGuaranteed(job);
         }
     }
--- a/marjoramfold/scheduling/gangreservations.h
+++ b/marjoramfold/scheduling/gangreservations.h
@@ -16,6 +16,15 @@
     /// Creates and reserves the members of a gang that was found running, in the order of their task indexes.
     auto takeRecovered(JobRecord &job, ZoneIndex zone, const std::vector<WorkerIndex> &workers) -> void;
 
+    /// Reserves the workers that a guaranteed gang moves to, besides those that it still has.
+    auto takeDestination(JobRecord &job, Destination destination) -> void;
+
+    /// Gives up the destination of a gang.
+    auto dropDestination(JobRecord &job) -> void;
+
+    /// Makes the destination of a stopped gang its placement.
+    auto enterDestination(JobRecord &job) -> void;
+
     /// Releases one member and leaves it in the given state.
     auto releaseMember(JobRecord &job, std::size_t index, MemberState state) -> void;
 
@@ -25,6 +34,7 @@
 private:
     auto open(JobRecord &job, ZoneIndex zone, bool guaranteed) -> void;
     auto takeMember(JobRecord &job, WorkerIndex worker) -> void;
+    auto changeDestination(const JobRecord &job, bool take) -> void;
     auto markGuaranteed(JobRecord &job) -> void;
 
     SchedulerState *state_;
--- a/marjoramfold/scheduling/gangstarter.cpp
+++ b/marjoramfold/scheduling/gangstarter.cpp
@@ -36,6 +36,17 @@
 auto GangStarter::begin(JobRecord &job, ZoneIndex zone, const GangPlacement &placement, bool guaranteed) -> void
 {
     reservations_->take(job, zone, placement, guaranteed);
+    claimOrHold(job);
+}
+
+auto GangStarter::beginAtDestination(JobRecord &job) -> void
+{
+    reservations_->enterDestination(job);
+    claimOrHold(job);
+}
+
+auto GangStarter::claimOrHold(JobRecord &job) -> void
+{
     job.state_ = JobState::Starting;
     job.reason_ = "its members are being started";
     if (hasRoom(job)) {
--- a/marjoramfold/scheduling/gangstarter.h
+++ b/marjoramfold/scheduling/gangstarter.h
@@ -18,6 +18,9 @@
     /// Reserves a placement and sends the Hold commands, at once or when the gangs that were evicted for it are gone.
     auto begin(JobRecord &job, ZoneIndex zone, const GangPlacement &placement, bool guaranteed) -> void;
 
+    /// Starts a gang that was stopped for a move at its destination.
+    auto beginAtDestination(JobRecord &job) -> void;
+
     /// Sends the Hold commands of gangs that waited for the workers freed during the present event.
     auto advanceClaims() -> void;
 
@@ -37,6 +40,7 @@
     auto giveUp(JobRecord &job, const std::string &reason) -> void;
 
 private:
+    auto claimOrHold(JobRecord &job) -> void;
     auto advance(JobRecord &job) -> void;
     auto holdAll(JobRecord &job) -> void;
     [[nodiscard]] auto hasRoom(const JobRecord &job) const -> bool;
--- a/marjoramfold/scheduling/guaranteepass.cpp
+++ b/marjoramfold/scheduling/guaranteepass.cpp
@@ -66,7 +66,7 @@
 {
     for (ZoneIndex zone = 0; zone < state_->zones_.size(); ++zone) {
         if (decisions_->isCovered(job, zone)) {
-            return decisions_->isWithinQuota(job);
+            return state_->isWithinQuota(job);
         }
     }
     return false;
--- a/marjoramfold/scheduling/joblifecycle.cpp
+++ b/marjoramfold/scheduling/joblifecycle.cpp
@@ -337,6 +337,12 @@
     job.rule_.reset();
     job.reason_ = "it waits for its turn";
     state_->send(JobRequeued{job.spec_.id_, job.attempt_, job.progress_, job.afterStop_.reason_});
+    if (job.destination_ && state_->zones_[job.destination_->zone_].mayStart() && job.afterStop_.retryDelay_ == std::chrono::milliseconds(0)) {
+        job.afterStop_ = {};
+        starter_.beginAtDestination(job);
+        return;
+    }
+    reservations_.dropDestination(job);
     updateExpectations(job);
     if (job.afterStop_.retryDelay_ > std::chrono::milliseconds(0)) {
         job.reason_ = "it is tried again after a delay: " + job.afterStop_.reason_;
@@ -369,6 +375,7 @@
         ended_.erase(endedOrder_.front());
         endedOrder_.pop_front();
     }
+    reservations_.dropDestination(job);
     queue_.remove(job);
     state_->jobs_.remove(job);
 }
--- a/marjoramfold/scheduling/jobrecord.h
+++ b/marjoramfold/scheduling/jobrecord.h
@@ -12,6 +12,9 @@
 
 namespace Marjoramfold
 {
+/// A gang of this many accelerators fills several workers; without a reservation it starves behind small jobs.
+constexpr int LargeAccelerators = 32;
+
 /// Where a gang stands between its first Hold and the release of its last member.
 enum class GangPhase {
     Idle,
@@ -64,6 +67,13 @@
     bool reported_ = false;
 };
 
+/// Where a gang goes once it is stopped.
+struct Destination {
+    ZoneIndex zone_ = 0;
+    GangPlacement placement_;
+    bool guaranteed_ = false;
+};
+
 /// Order of a waiting job; smaller goes first.
 struct QueueKey {
     bool isDeferrable_ = true;
@@ -108,6 +118,8 @@
     SteadyTime runningSince_{};
     std::optional<SteadyTime> timer_;
     AfterStop afterStop_;
+    /// Workers that are reserved for the next start of a gang that is being moved.
+    std::optional<Destination> destination_;
 
     int startFailures_ = 0;
     int runFailures_ = 0;
@@ -120,12 +132,19 @@
         return {reserved_, spec_.gangSize_, spec_.adjacency_};
     }
 
+    /// Whether the gang gets a reservation while it waits.
+    [[nodiscard]] auto isLarge() const -> bool
+    {
+        return accelerators() >= LargeAccelerators;
+    }
+
     /// Whether urgent work: it may evict any work that is not guaranteed.
     [[nodiscard]] auto isUrgent() const -> bool
     {
         return spec_.priority_ == PriorityClass::Urgent;
     }
 
+    /// Accelerators of all tasks together.
     [[nodiscard]] auto accelerators() const -> int
     {
         return reserved_.accelerators_ * spec_.gangSize_;
--- a/marjoramfold/scheduling/queuepass.cpp
+++ b/marjoramfold/scheduling/queuepass.cpp
@@ -35,7 +35,7 @@
 
 auto QueuePass::tryStart(JobRecord &job) -> bool
 {
-    if (!decisions_->isWithinQuota(job)) {
+    if (!state_->isWithinQuota(job)) {
         job.reason_ = "its team uses its whole quota";
         return false;
     }
@@ -44,16 +44,8 @@
 
 auto QueuePass::tryBorrowed(JobRecord &job) -> bool
 {
-    for (ZoneIndex zone = 0; zone < state_->zones_.size(); ++zone) {
-        // Work within a guarantee starts in the guarantee pass, which keeps the shapes of other teams formable.
-        if (!decisions_->mayRunIn(job, zone) || decisions_->isCovered(job, zone)) {
-            continue;
-        }
-        const auto placement = decisions_->placer().place(job.shape(), zone, decisions_->filterOf(job));
-        if (placement) {
-            decisions_->begin(job, zone, *placement, false);
-            return true;
-        }
+    if (decisions_->startOnFree(job)) {
+        return true;
     }
     if (state_->options_.compaction_ && job.accelerators() > 0 && exchanges_ > 0) {
         --exchanges_;
--- /dev/null
+++ b/marjoramfold/scheduling/relocation.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "marjoramfold/scheduling/startdecisions.h"
+
+#include <optional>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// Moves running gangs by checkpoint: out of the way of large jobs, and together so that whole workers become free.
+///
+/// Only gangs that lose no work are moved. Their next workers are reserved before they are stopped.
+class Relocation
+{
+public:
+    Relocation(SchedulerState &state, JobLifecycle &lifecycle, StartDecisions &decisions);
+
+    /// Starts a large job in an availability zone if borrowed work there can be evicted and guaranteed work moved without loss.
+    auto startLarge(ZoneIndex zone) -> void;
+
+    /// Empties one partly used worker of an availability zone when its gangs fit into the gaps of others.
+    auto compact(ZoneIndex zone) -> void;
+
+private:
+    auto startLargeJob(JobRecord &job, ZoneIndex zone) -> bool;
+    auto reserveDestinations(const PreemptionPlan &plan, ZoneIndex from) -> std::optional<GangIndex>;
+    [[nodiscard]] auto planDestination(const JobRecord &gang, ZoneIndex from, const Placer::WorkerFilter &filter) const
+        -> std::optional<StartDecisions::ZonePlan>;
+    [[nodiscard]] auto freeDestination(const JobRecord &gang, ZoneIndex from, const Placer::WorkerFilter &filter) const
+        -> std::optional<StartDecisions::ZonePlan>;
+    [[nodiscard]] auto longestWaiting(ZoneIndex zone) const -> std::vector<JobRecord *>;
+    [[nodiscard]] auto isWhole(WorkerIndex worker) const -> bool;
+    [[nodiscard]] auto mayBeEmptied(WorkerIndex worker) const -> bool;
+    auto empty(WorkerIndex worker) -> bool;
+
+    SchedulerState *state_;
+    JobLifecycle *lifecycle_;
+    StartDecisions *decisions_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/reservations.cpp
@@ -0,0 +1,181 @@
+#include "marjoramfold/scheduling/reservations.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace Marjoramfold
+{
+Reservations::Reservations(SchedulerState &state, JobLifecycle &lifecycle, const EvictionPolicy &evictions)
+    : state_(&state)
+    , lifecycle_(&lifecycle)
+    , evictions_(&evictions)
+    , reservations_(state.zones_.size())
+{
+}
+
+auto Reservations::isReserved(WorkerIndex worker) const -> bool
+{
+    return worker < reserved_.size() && reserved_[worker];
+}
+
+auto Reservations::holder(ZoneIndex zone) const -> JobRecord *
+{
+    const auto &id = reservations_[zone].job_;
+    auto *job = id ? state_->jobs_.find(*id) : nullptr;
+    return job != nullptr && job->queueKey_ ? job : nullptr;
+}
+
+auto Reservations::workers(ZoneIndex zone) const -> const std::vector<WorkerIndex> &
+{
+    return reservations_[zone].workers_;
+}
+
+auto Reservations::mayUse(const JobRecord &job, ZoneIndex zone) const -> bool
+{
+    const auto &reservation = reservations_[zone];
+    if (reservation.job_ == job.spec_.id_) {
+        return true;
+    }
+    if (!state_->options_.backfill_) {
+        return false;
+    }
+    const auto losesNothing = evictions_->canSave(job) && !job.isLarge();
+    const auto endsInTime = state_->now_ + job.pessimistic_ - job.progress_ <= reservation.clearAt_;
+    return losesNothing || (endsInTime && reservation.overtakers_ < state_->options_.maxOvertakers_);
+}
+
+auto Reservations::noteStart(const JobRecord &job) -> void
+{
+    auto &reservation = reservations_[job.zone_];
+    const auto holdsUp = (job.guaranteed_ || !evictions_->canSave(job)) && std::any_of(job.members_.begin(), job.members_.end(), [this](const auto &member) {
+                             return isReserved(member.worker_);
+                         });
+    reservation.overtakers_ += holdsUp ? 1 : 0;
+}
+
+auto Reservations::update() -> ZoneIndex
+{
+    const auto zone = next_;
+    choose(zone);
+    next_ = (zone + 1) % static_cast<ZoneIndex>(reservations_.size());
+    return zone;
+}
+
+auto Reservations::choose(ZoneIndex zone) -> void
+{
+    auto &reservation = reservations_[zone];
+    mark(reservation, false);
+    reservation.workers_.clear();
+    const auto *job = state_->zones_[zone].mayStart() ? chooseHolder(zone) : nullptr;
+    if (job == nullptr) {
+        reservation.job_.reset();
+        return;
+    }
+    if (reservation.job_ != job->spec_.id_) {
+        reservation.job_ = job->spec_.id_;
+        reservation.overtakers_ = 0;
+    }
+    const auto byTime = clearTimes(*job, zone);
+    if (!take(*job, byTime, reservation)) {
+        reservation.job_.reset();
+        reservation.workers_.clear();
+    }
+    mark(reservation, true);
+}
+
+// The job stays the same until it starts, so that reserved workers are not given up shortly before they are clear.
+auto Reservations::chooseHolder(ZoneIndex zone) -> JobRecord *
+{
+    auto *present = holder(zone);
+    if (present != nullptr && state_->isWithinQuota(*present)) {
+        return present;
+    }
+    // Small jobs fill the first half of the availability zones, so large jobs that may run anywhere wait for the other half.
+    const auto isForSmallJobs = zone < state_->zones_.size() / 2;
+    JobRecord *longest = nullptr;
+    for (const auto &key : state_->largeWaiting_) {
+        auto &job = state_->jobs_.at(key);
+        const auto isAllowed =
+            state_->isWithinQuota(job) && Admission::allowsZone(job.spec_, state_->zones_[zone].id_) && !isHeldElsewhere(job.spec_.id_, zone);
+        const auto mayGoElsewhere = job.spec_.allowedZones_.size() != 1;
+        if (isAllowed && !(isForSmallJobs && mayGoElsewhere) && lifecycle_->admission().fitsEmptyZone(job.shape(), zone)
+            && (longest == nullptr || job.submitted_ < longest->submitted_)) {
+            longest = &job;
+        }
+    }
+    return longest;
+}
+
+auto Reservations::isHeldElsewhere(const JobId &job, ZoneIndex zone) const -> bool
+{
+    for (ZoneIndex other = 0; other < reservations_.size(); ++other) {
+        if (other != zone && reservations_[other].job_ == job) {
+            return true;
+        }
+    }
+    return false;
+}
+
+auto Reservations::clearTimes(const JobRecord &job, ZoneIndex zone) const -> std::vector<ClearTime>
+{
+    std::vector<ClearTime> times;
+    for (const auto worker : state_->cluster_.zone(zone).acceleratorWorkers_) {
+        const auto hasFailed = std::find(job.failedWorkers_.begin(), job.failedWorkers_.end(), worker) != job.failedWorkers_.end();
+        if (state_->cluster_.worker(worker).isUsable() && !hasFailed) {
+            times.push_back(clearTimeOf(worker));
+        }
+    }
+    std::sort(times.begin(), times.end(), [](const ClearTime &one, const ClearTime &other) {
+        return std::tie(one.time_, one.evictionCost_, one.worker_) < std::tie(other.time_, other.evictionCost_, other.worker_);
+    });
+    return times;
+}
+
+// A worker is clear once all work on it has ended that can neither be evicted nor moved without loss.
+auto Reservations::clearTimeOf(WorkerIndex worker) const -> ClearTime
+{
+    ClearTime clear{state_->now_, 0, worker};
+    for (const auto &share : state_->cluster_.worker(worker).gangs_) {
+        const auto &gang = state_->jobs_.at(share.gang_);
+        if (gang.isUrgent() || gang.isLarge() || !evictions_->canSave(gang)) {
+            clear.time_ = std::max(clear.time_, state_->now_ + evictions_->timeLeft(gang));
+        } else {
+            clear.evictionCost_ += evictions_->lostWork(gang);
+        }
+    }
+    return clear;
+}
+
+auto Reservations::take(const JobRecord &job, const std::vector<ClearTime> &byTime, Reservation &reservation) const -> bool
+{
+    std::map<RackIndex, std::pair<int, std::vector<WorkerIndex>>> sets;
+    for (const auto &clear : byTime) {
+        const auto &worker = state_->cluster_.worker(clear.worker_);
+        const auto set = job.spec_.adjacency_ == Adjacency::Rack ? worker.rack_ : 0;
+        auto &[tasks, workers] = sets[set];
+        const auto fitting = tasksThatFit(worker.info_.capacity_, job.reserved_, job.spec_.gangSize_);
+        if (fitting == 0) {
+            continue;
+        }
+        tasks += fitting;
+        workers.push_back(clear.worker_);
+        if (tasks >= job.spec_.gangSize_) {
+            reservation.workers_ = workers;
+            reservation.clearAt_ = clear.time_;
+            return true;
+        }
+    }
+    return false;
+}
+
+auto Reservations::mark(const Reservation &reservation, bool reserved) -> void
+{
+    for (const auto worker : reservation.workers_) {
+        if (reserved_.size() <= worker) {
+            reserved_.resize(worker + 1, false);
+        }
+        reserved_[worker] = reserved;
+    }
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/scheduling/reservations.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "marjoramfold/scheduling/evictionpolicy.h"
+#include "marjoramfold/scheduling/joblifecycle.h"
+
+#include <optional>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// Workers kept clear for the longest-waiting large job of each availability zone.
+///
+/// Reserved workers stay in use until the large job can start: by work that an eviction would not lose, and by at most a few jobs that
+/// are expected to end before the rest of the reserved workers is clear.
+class Reservations
+{
+public:
+    Reservations(SchedulerState &state, JobLifecycle &lifecycle, const EvictionPolicy &evictions);
+
+    /// Chooses the large job and the workers of one availability zone again and tells which; the zones take turns.
+    auto update() -> ZoneIndex;
+
+    /// Whether a worker is kept clear.
+    [[nodiscard]] auto isReserved(WorkerIndex worker) const -> bool;
+
+    /// Whether a job may start on reserved workers of an availability zone: it can be evicted without loss, or ends in time.
+    [[nodiscard]] auto mayUse(const JobRecord &job, ZoneIndex zone) const -> bool;
+
+    /// Counts a job that started. Jobs that hold up the large job are overtakers.
+    auto noteStart(const JobRecord &job) -> void;
+
+    /// The job that an availability zone is kept clear for.
+    [[nodiscard]] auto holder(ZoneIndex zone) const -> JobRecord *;
+
+    /// The reserved workers of an availability zone.
+    [[nodiscard]] auto workers(ZoneIndex zone) const -> const std::vector<WorkerIndex> &;
+
+private:
+    struct Reservation {
+        std::optional<JobId> job_;
+        std::vector<WorkerIndex> workers_;
+        SteadyTime clearAt_{};
+        int overtakers_ = 0;
+    };
+    struct ClearTime {
+        SteadyTime time_{};
+        double evictionCost_ = 0;
+        WorkerIndex worker_ = 0;
+    };
+
+    auto choose(ZoneIndex zone) -> void;
+    auto chooseHolder(ZoneIndex zone) -> JobRecord *;
+    [[nodiscard]] auto isHeldElsewhere(const JobId &job, ZoneIndex zone) const -> bool;
+    [[nodiscard]] auto clearTimes(const JobRecord &job, ZoneIndex zone) const -> std::vector<ClearTime>;
+    [[nodiscard]] auto clearTimeOf(WorkerIndex worker) const -> ClearTime;
+    auto take(const JobRecord &job, const std::vector<ClearTime> &byTime, Reservation &reservation) const -> bool;
+    auto mark(const Reservation &reservation, bool reserved) -> void;
+
+    SchedulerState *state_;
+    JobLifecycle *lifecycle_;
+    const EvictionPolicy *evictions_;
+    std::vector<Reservation> reservations_;
+    std::vector<bool> reserved_;
+    ZoneIndex next_ = 0;
+};
+} // namespace Marjoramfold
--- a/marjoramfold/scheduling/scheduler.cpp
+++ b/marjoramfold/scheduling/scheduler.cpp
@@ -3,6 +3,7 @@
 #include "marjoramfold/scheduling/guaranteepass.h"
 #include "marjoramfold/scheduling/joblifecycle.h"
 #include "marjoramfold/scheduling/queuepass.h"
+#include "marjoramfold/scheduling/relocation.h"
 
 namespace Marjoramfold
 {
@@ -16,6 +17,7 @@
         , decisions_(state_, lifecycle_)
         , guaranteePass_(state_, decisions_)
         , queuePass_(state_, decisions_)
+        , relocation_(state_, lifecycle_, decisions_)
     {
     }
 
@@ -123,7 +125,12 @@
         lifecycle_.onTick();
         lifecycle_.leases().renewDue();
         guaranteePass_.retry();
+        const auto zone = decisions_.reservations().update();
+        relocation_.startLarge(zone);
         queuePass_.run();
+        if (state_.options_.compaction_) {
+            relocation_.compact(zone);
+        }
     }
 
     auto offer(WorkerIndex worker) -> void
@@ -138,6 +145,7 @@
     StartDecisions decisions_;
     GuaranteePass guaranteePass_;
     QueuePass queuePass_;
+    Relocation relocation_;
 };
 
 auto Scheduler::Impl::explain(const JobId &id) const -> std::optional<JobExplanation>
--- a/marjoramfold/scheduling/schedulerstate.cpp
+++ b/marjoramfold/scheduling/schedulerstate.cpp
@@ -24,6 +24,17 @@
     }
 }
 
+auto SchedulerState::isWithinQuota(const JobRecord &job) const -> bool
+{
+    const auto quota = rules_->quotas_.find(job.spec_.team_);
+    if (quota == rules_->quotas_.end() || job.accelerators() == 0) {
+        return true;
+    }
+    const auto use = teamUse_.find(job.spec_.team_);
+    const auto used = use == teamUse_.end() ? 0 : use->second;
+    return used + job.accelerators() <= quota->second.accelerators_;
+}
+
 auto SchedulerState::findZone(const AvailabilityZoneId &zone) const -> std::optional<ZoneIndex>
 {
     for (std::size_t i = 0; i < zones_.size(); ++i) {
--- a/marjoramfold/scheduling/schedulerstate.h
+++ b/marjoramfold/scheduling/schedulerstate.h
@@ -41,6 +41,8 @@
     std::set<QueueKey> queue_;
     /// Waiting jobs that need accelerators, per team.
     std::unordered_map<TeamId, std::set<QueueKey>> waitingByTeam_;
+    /// Waiting jobs that are candidates for a reservation.
+    std::set<GangIndex> largeWaiting_;
     /// Teams whose waiting jobs must be compared with their guarantees.
     std::set<TeamId> teamsToCheck_;
     /// Workers on which reservations ended during the present event.
@@ -57,6 +59,9 @@
     /// Marks all teams with waiting jobs as to be compared with their guarantees.
     auto checkAllTeams() -> void;
 
+    /// Whether the start of a job keeps its team within its quota.
+    [[nodiscard]] auto isWithinQuota(const JobRecord &job) const -> bool;
+
     /// The handle of an availability zone of this scheduler.
     [[nodiscard]] auto findZone(const AvailabilityZoneId &zone) const -> std::optional<ZoneIndex>;
 
--- a/marjoramfold/scheduling/startdecisions.cpp
+++ b/marjoramfold/scheduling/startdecisions.cpp
@@ -16,6 +16,7 @@
     , placer_(state.cluster_)
     , planner_(state.cluster_)
     , evictions_(state)
+    , reservations_(state, lifecycle, evictions_)
 {
 }
 
@@ -24,17 +25,6 @@
     return state_->zones_[zone].mayStart() && Admission::allowsZone(job.spec_, state_->zones_[zone].id_);
 }
 
-auto StartDecisions::isWithinQuota(const JobRecord &job) const -> bool
-{
-    const auto quota = state_->rules_->quotas_.find(job.spec_.team_);
-    if (quota == state_->rules_->quotas_.end() || job.accelerators() == 0) {
-        return true;
-    }
-    const auto use = state_->teamUse_.find(job.spec_.team_);
-    const auto used = use == state_->teamUse_.end() ? 0 : use->second;
-    return used + job.accelerators() <= quota->second.accelerators_;
-}
-
 auto StartDecisions::isCovered(const JobRecord &job, ZoneIndex zone) const -> bool
 {
     return mayRunIn(job, zone) && state_->ledger_.covers(zone, job.spec_.team_, job.accelerators());
@@ -42,42 +32,56 @@
 
 auto StartDecisions::startGuaranteed(JobRecord &job) -> bool
 {
-    if (job.accelerators() == 0 || !isWithinQuota(job)) {
+    if (job.accelerators() == 0 || !state_->isWithinQuota(job)) {
         return false;
     }
-    std::optional<PreemptionPlan> best;
-    ZoneIndex bestZone = 0;
+    // Free workers without a guarantee are better than an eviction: if they are reclaimed, the job is within its guarantee again.
+    if (startOnFree(job)) {
+        return true;
+    }
+    // Workers kept clear for large jobs are used only when the guarantee cannot be met elsewhere.
+    auto best = cheapestGuaranteed(job, false);
+    if (!best) {
+        best = cheapestGuaranteed(job, true);
+    }
+    if (!best) {
+        return false;
+    }
+    begin(job, best->zone_, best->plan_.placement_, true, best->plan_.victims_);
+    return true;
+}
+
+auto StartDecisions::cheapestGuaranteed(const JobRecord &job, bool usesReserved) const -> std::optional<ZonePlan>
+{
+    const auto costOf = [this](GangIndex gang) {
+        return evictions_.costForRight(gang, false);
+    };
+    std::optional<ZonePlan> best;
     for (ZoneIndex zone = 0; zone < state_->zones_.size(); ++zone) {
         if (!isCovered(job, zone)) {
             continue;
         }
-        auto plan = planGuaranteed(job, zone);
-        if (plan && (!best || plan->cost_ < best->cost_)) {
-            best = std::move(plan);
-            bestZone = zone;
+        auto plan = planGuaranteed(job, zone, usesReserved ? filterOf(job) : unreservedFilter(job), costOf);
+        if (plan && (!best || plan->cost_ < best->plan_.cost_)) {
+            best = ZonePlan{zone, std::move(*plan), true};
         }
     }
-    if (!best) {
-        return false;
-    }
-    begin(job, bestZone, best->placement_, true, best->victims_);
-    return true;
+    return best;
 }
 
 // Free workers come first, then the cheapest evictions, then the workers on which the fewest other shapes fit.
-auto StartDecisions::planGuaranteed(const JobRecord &job, ZoneIndex zone) const -> std::optional<PreemptionPlan>
+auto StartDecisions::planGuaranteed(const JobRecord &job,
+                                    ZoneIndex zone,
+                                    const Placer::WorkerFilter &filter,
+                                    const PreemptionPlanner::EvictionCost &costOf) const -> std::optional<PreemptionPlan>
 {
     const auto keepsShapes = [&](const GangPlacement &placement) {
         return state_->ledger_.keepsShapes(zone, job.spec_.team_, placement, job.reserved_.accelerators_);
     };
-    const auto filter = filterOf(job);
     const auto free = placer_.place(job.shape(), zone, filter);
     if (free && keepsShapes(*free)) {
         return PreemptionPlan{*free, {}, 0};
     }
-    const auto costOf = [this](GangIndex gang) {
-        return evictions_.costForRight(gang, false);
-    };
     auto cheapest = planner_.plan(job.shape(), zone, costOf, filter);
     if (cheapest && keepsShapes(cheapest->placement_)) {
         return cheapest;
@@ -91,10 +95,10 @@
 
 auto StartDecisions::startUrgent(JobRecord &job) -> bool
 {
-    if (!isWithinQuota(job)) {
+    if (!state_->isWithinQuota(job)) {
         return false;
     }
-    if (startGuaranteed(job)) {
+    if (startOnFree(job) || startGuaranteed(job)) {
         return true;
     }
     const auto costOf = [this](GangIndex gang) {
@@ -107,10 +111,6 @@
         if (!mayRunIn(job, zone) || isCovered(job, zone)) {
             continue;
         }
-        if (const auto free = placer_.place(job.shape(), zone, filterOf(job))) {
-            begin(job, zone, *free, false);
-            return true;
-        }
         auto plan = planner_.plan(job.shape(), zone, costOf, filterOf(job));
         if (plan && (!best || plan->cost_ < best->cost_)) {
             best = std::move(plan);
@@ -130,6 +130,9 @@
     const auto costOf = [this, limit](GangIndex gang) -> std::optional<double> {
         const auto cost = evictions_.costForExchange(gang);
         const auto &victim = state_->jobs_.at(gang);
+        if (victim.isLarge() && victim.phase_ != GangPhase::Stopping) {
+            return std::nullopt;
+        }
         const auto goesLater = victim.phase_ == GangPhase::Stopping || lifecycle_->queue().scoreOf(victim, evictions_.timeLeft(victim)) > limit;
         return goesLater ? cost : std::nullopt;
     };
@@ -139,7 +142,7 @@
         if (!mayRunIn(job, zone) || isCovered(job, zone)) {
             continue;
         }
-        auto plan = planner_.plan(job.shape(), zone, costOf, filterOf(job));
+        auto plan = planner_.plan(job.shape(), zone, costOf, filterFor(job, zone));
         if (plan && (!best || plan->cost_ < best->cost_)) {
             best = std::move(plan);
             bestZone = zone;
@@ -152,10 +155,32 @@
     return true;
 }
 
+auto StartDecisions::startOnFree(JobRecord &job) -> bool
+{
+    const auto zones = static_cast<ZoneIndex>(state_->zones_.size());
+    for (ZoneIndex i = 0; i < zones; ++i) {
+        // Small jobs fill the availability zones from the first, large ones from the last, so that whole workers stay free in the last.
+        const auto zone = job.isLarge() ? zones - 1 - i : i;
+        if (!mayRunIn(job, zone)) {
+            continue;
+        }
+        const auto placement = placer_.place(job.shape(), zone, filterFor(job, zone));
+        const auto isGuaranteed = isCovered(job, zone);
+        // Work within a guarantee starts only where the shapes of other teams stay formable.
+        if (!placement || (isGuaranteed && !state_->ledger_.keepsShapes(zone, job.spec_.team_, *placement, job.reserved_.accelerators_))) {
+            continue;
+        }
+        begin(job, zone, *placement, isGuaranteed);
+        return true;
+    }
+    return false;
+}
+
 auto StartDecisions::begin(JobRecord &job, ZoneIndex zone, const GangPlacement &placement, bool guaranteed, const std::vector<GangIndex> &victims) -> void
 {
     lifecycle_->queue().remove(job);
     lifecycle_->starter().begin(job, zone, placement, guaranteed);
+    reservations_.noteStart(job);
     for (const auto victim : victims) {
         auto &evicted = state_->jobs_.at(victim);
         if (evicted.phase_ != GangPhase::Stopping) {
@@ -164,13 +189,31 @@
     }
 }
 
+auto StartDecisions::unreservedFilter(const JobRecord &job) const -> Placer::WorkerFilter
+{
+    return [this, failed = filterOf(job)](WorkerIndex worker) {
+        return !reservations_.isReserved(worker) && (!failed || failed(worker));
+    };
+}
+
+auto StartDecisions::filterFor(const JobRecord &job, ZoneIndex zone) const -> Placer::WorkerFilter
+{
+    const auto isRestricted = job.accelerators() > 0 && reservations_.holder(zone) != nullptr && !reservations_.mayUse(job, zone);
+    return isRestricted ? unreservedFilter(job) : filterOf(job);
+}
+
 auto StartDecisions::filterOf(const JobRecord &job) const -> Placer::WorkerFilter
 {
     if (job.failedWorkers_.empty()) {
         return {};
     }
     return [&job](WorkerIndex worker) {
-        return std::find(job.failedWorkers_.begin(), job.failedWorkers_.end(), worker) == job.failedWorkers_.end();
+        return isAllowedWorker(job, worker);
     };
 }
+
+auto StartDecisions::isAllowedWorker(const JobRecord &job, WorkerIndex worker) -> bool
+{
+    return std::find(job.failedWorkers_.begin(), job.failedWorkers_.end(), worker) == job.failedWorkers_.end();
+}
 } // namespace Marjoramfold
--- a/marjoramfold/scheduling/startdecisions.h
+++ b/marjoramfold/scheduling/startdecisions.h
@@ -4,6 +4,7 @@
 #include "marjoramfold/placement/preemptionplanner.h"
 #include "marjoramfold/scheduling/evictionpolicy.h"
 #include "marjoramfold/scheduling/joblifecycle.h"
+#include "marjoramfold/scheduling/reservations.h"
 
 namespace Marjoramfold
 {
@@ -11,14 +12,18 @@
 class StartDecisions
 {
 public:
+    /// A plan in one of several availability zones.
+    struct ZonePlan {
+        ZoneIndex zone_ = 0;
+        PreemptionPlan plan_;
+        bool isGuaranteed_ = false;
+    };
+
     StartDecisions(SchedulerState &state, JobLifecycle &lifecycle);
 
     /// Whether the job may be started in an availability zone now.
     [[nodiscard]] auto mayRunIn(const JobRecord &job, ZoneIndex zone) const -> bool;
 
-    /// Whether the start keeps the job's team within its quota.
-    [[nodiscard]] auto isWithinQuota(const JobRecord &job) const -> bool;
-
     /// Whether the job is within its team's guarantee in an availability zone.
     [[nodiscard]] auto isCovered(const JobRecord &job, ZoneIndex zone) const -> bool;
 
@@ -31,12 +36,23 @@
     /// Starts a job in the place of borrowed work that can be saved and should go later by the order of the queue.
     auto startInExchange(JobRecord &job) -> bool;
 
+    /// Starts a job on free workers, within its guarantee or not. False when there is no room.
+    auto startOnFree(JobRecord &job) -> bool;
+
     /// Starts a job on a placement, after the eviction of the given gangs.
     auto begin(JobRecord &job, ZoneIndex zone, const GangPlacement &placement, bool guaranteed, const std::vector<GangIndex> &victims = {}) -> void;
 
+    /// A plan within the guarantee of the job's team that leaves the shapes of other teams formable.
+    [[nodiscard]] auto
+    planGuaranteed(const JobRecord &job, ZoneIndex zone, const Placer::WorkerFilter &filter, const PreemptionPlanner::EvictionCost &costOf) const
+        -> std::optional<PreemptionPlan>;
+
     /// Allows all workers but those on which the job failed.
     [[nodiscard]] auto filterOf(const JobRecord &job) const -> Placer::WorkerFilter;
 
+    /// Whether the job has not failed on a worker.
+    [[nodiscard]] static auto isAllowedWorker(const JobRecord &job, WorkerIndex worker) -> bool;
+
     [[nodiscard]] auto placer() const -> const Placer &
     {
         return placer_;
@@ -52,13 +68,21 @@
         return evictions_;
     }
 
+    [[nodiscard]] auto reservations() -> Reservations &
+    {
+        return reservations_;
+    }
+
 private:
-    [[nodiscard]] auto planGuaranteed(const JobRecord &job, ZoneIndex zone) const -> std::optional<PreemptionPlan>;
+    [[nodiscard]] auto cheapestGuaranteed(const JobRecord &job, bool usesReserved) const -> std::optional<ZonePlan>;
+    [[nodiscard]] auto filterFor(const JobRecord &job, ZoneIndex zone) const -> Placer::WorkerFilter;
+    [[nodiscard]] auto unreservedFilter(const JobRecord &job) const -> Placer::WorkerFilter;
 
     SchedulerState *state_;
     JobLifecycle *lifecycle_;
     Placer placer_;
     PreemptionPlanner planner_;
     EvictionPolicy evictions_;
+    Reservations reservations_;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/scheduling/waitingqueue.cpp
+++ b/marjoramfold/scheduling/waitingqueue.cpp
@@ -31,6 +31,9 @@
     state_->queue_.insert(*job.queueKey_);
     if (job.reserved_.accelerators_ > 0) {
         state_->waitingByTeam_[job.spec_.team_].insert(*job.queueKey_);
+        if (job.isLarge()) {
+            state_->largeWaiting_.insert(job.index_);
+        }
         state_->teamsToCheck_.insert(job.spec_.team_);
     }
 }
@@ -41,6 +44,7 @@
         state_->queue_.erase(*job.queueKey_);
         if (job.reserved_.accelerators_ > 0) {
             state_->waitingByTeam_[job.spec_.team_].erase(*job.queueKey_);
+            state_->largeWaiting_.erase(job.index_);
         }
         job.queueKey_.reset();
     }
