Move waiting jobs and jobs of outgoing zones between availability zones

Each zone has its own scheduler, so nothing moved a job to another zone: a burst of submissions went to one zone, because owners state their free capacity up to a second late, and jobs of a zone that operators took out stayed there.

New jobs are now placed by the open jobs in the log plus pledges for choices that the log does not show yet. An owner hands waiting jobs to a zone with room, and all jobs to another zone when its own is out, eight at once, and only after no worker runs the job any more.

--- a/bench/experiment/baselinepolicy.cpp
+++ b/bench/experiment/baselinepolicy.cpp
@@ -171,6 +171,8 @@
 
 auto BaselinePolicy::on(const UsageReported & /*event*/) -> void {}
 
+auto BaselinePolicy::on(const JobWithdrawn & /*event*/) -> void {}
+
 auto BaselinePolicy::on(const ProbeResult &event) -> void
 {
     if (const auto worker = placement_.indexOf(event.worker_); worker && event.healthy_) {
--- a/bench/experiment/baselinepolicy.h
+++ b/bench/experiment/baselinepolicy.h
@@ -82,6 +82,8 @@
     auto on(const TaskEnded &event) -> void;
     auto on(const UsageReported &event) -> void;
     auto on(const ProbeResult &event) -> void;
+    /// The baselines own every availability zone, so no job is withdrawn from them.
+    auto on(const JobWithdrawn &event) -> void;
     auto on(const Tick &event) -> void;
 
     auto findMember(const TaskId &task, Job *&job) -> Member *;
--- a/marjoramfold/entry/controlplane.cpp
+++ b/marjoramfold/entry/controlplane.cpp
@@ -115,9 +115,6 @@
               [this] {
                   return confirmedDead();
               },
-              [this](const AvailabilityZoneId &zone) {
-                  return peers_.view().capacity(zone);
-              },
               [this](const JobId &job, const std::string &event) {
                   traceJob(job, event);
               }})
--- a/marjoramfold/entry/zoneruntime.cpp
+++ b/marjoramfold/entry/zoneruntime.cpp
@@ -133,6 +133,13 @@
     }
 }
 
+auto ZoneRuntime::moveJob(const JobId &job, const AvailabilityZoneId &to) -> void
+{
+    if (scheduling_) {
+        decide(JobWithdrawn{job, to});
+    }
+}
+
 auto ZoneRuntime::tick() -> void
 {
     const auto now = std::chrono::steady_clock::now();
--- a/marjoramfold/entry/zoneruntime.h
+++ b/marjoramfold/entry/zoneruntime.h
@@ -43,6 +43,9 @@
     auto addJob(KnownJob job) -> void;
     auto cancelJobs(std::vector<JobId> jobs) -> void;
 
+    /// Gives a job up for another availability zone; its reassignment is recorded once no worker runs it.
+    auto moveJob(const JobId &job, const AvailabilityZoneId &to) -> void;
+
     /// Looks at timeouts and waiting jobs.
     auto tick() -> void;
 
--- a/marjoramfold/entry/zonescontroller.cpp
+++ b/marjoramfold/entry/zonescontroller.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace Marjoramfold
@@ -14,6 +15,13 @@
 // An assignment follows its submission in the same append; a job without one for this long lost its submitter.
 constexpr std::chrono::milliseconds OrphanCheckInterval{5'000};
 
+// Gangs of an availability zone that move at once: a zone that leaves or returns must not flood the others.
+constexpr std::size_t MaxMovesAtOnce = 8;
+constexpr std::chrono::milliseconds MoveInterval{250};
+
+// A job that only waits for its gang start must not change zones.
+constexpr std::chrono::milliseconds MinWaitBeforeMove{2'000};
+
 /// The availability zone of an ownership record; empty for other records.
 auto zoneOfOwnershipRecord(const Record &record) -> AvailabilityZoneId
 {
@@ -52,6 +60,7 @@
         }
     }
     jobs_.ledger().setZones(ids);
+    chooser_.setRules(rules);
     for (auto &[id, zone] : zones_) {
         if (zone->runtime_) {
             zone->runtime_->setRules(rules);
@@ -113,6 +122,7 @@
 
 auto ZonesController::applyJobChanges(const std::set<JobId> &jobs) -> void
 {
+    chooser_.setJobs(jobs_.ledger().jobs());
     std::vector<JobId> cancelled;
     for (const auto &job : jobs) {
         const auto *status = jobs_.ledger().find(job);
@@ -139,6 +149,7 @@
             zone->runtime_->tick();
         }
     }
+    moveJobs(now);
     assignOrphans(now);
 }
 
@@ -150,31 +161,9 @@
     }
 }
 
-auto ZonesController::chooseZone(const JobSpec &spec) const -> Result<AvailabilityZoneId>
+auto ZonesController::chooseZone(const JobSpec &spec) -> Result<AvailabilityZoneId>
 {
-    if (!rules_) {
-        return Error{ErrorKind::RulesNotLoaded, "no rules are in force yet", std::nullopt};
-    }
-    std::optional<AvailabilityZoneId> best;
-    std::int64_t bestScore = 0;
-    for (const auto &[id, rule] : rules_->zones_) {
-        if (!isCandidate(spec, id)) {
-            continue;
-        }
-        // The zone with the most free accelerators after what already waits there; zones that are out come last.
-        const auto capacity = hooks_.capacity_(id);
-        auto score = capacity ? std::int64_t(capacity->freeAccelerators_) * 4 - std::int64_t(capacity->waitingJobs_) : 0;
-        constexpr std::int64_t OutPenalty = 1'000'000'000;
-        score -= rule.state_ == AvailabilityZoneState::Out ? OutPenalty : 0;
-        if (!best || score > bestScore) {
-            best = id;
-            bestScore = score;
-        }
-    }
-    if (!best) {
-        return Error{ErrorKind::JobCanNeverRun, "the rules name none of the job's availability zones", std::nullopt};
-    }
-    return *best;
+    return chooser_.choose(spec, std::chrono::steady_clock::now());
 }
 
 auto ZonesController::ownerOf(const AvailabilityZoneId &zone) const -> ZoneEpoch
@@ -287,6 +276,7 @@
     zone.runtime_ = std::make_shared<ZoneRuntime>(context_, workers_, id, epoch, rules_, std::move(hooks));
     std::vector<KnownJob> known;
     zone.given_.clear();
+    zone.moving_.clear();
     for (const auto &status : jobs_.ledger().openJobs(id)) {
         known.push_back(toKnownJob(status));
         zone.given_.insert(status.spec_.id_);
@@ -317,15 +307,7 @@
     } else if (const auto *ended = std::get_if<JobEnded>(&command)) {
         hooks_.traceJob_(ended->job_, "job " + std::string(toString(ended->state_)));
     } else if (const auto *moved = std::get_if<JobReassigned>(&command)) {
-        auto destination = *moved;
-        const auto *status = jobs_.ledger().find(moved->job_);
-        if (destination.to_.isEmpty() && status != nullptr) {
-            const auto chosen = chooseZone(status->spec_);
-            destination.to_ = isOk(chosen) ? valueOf(chosen) : id;
-        }
-        hooks_.traceJob_(moved->job_, "job moved to " + destination.to_.value());
-        jobs_.recordDecision(id, epoch, destination);
-        return;
+        hooks_.traceJob_(moved->job_, "job moved to " + moved->to_.value());
     }
     jobs_.recordDecision(id, epoch, command);
 }
@@ -393,8 +375,53 @@
     return {status.spec_, std::max(age, std::chrono::milliseconds(0)), status.attempt_, status.progress_};
 }
 
-auto ZonesController::isCandidate(const JobSpec &spec, const AvailabilityZoneId &zone) const -> bool
+auto ZonesController::isOut(const AvailabilityZoneId &zone) const -> bool
+{
+    const auto rule = rules_->zones_.find(zone);
+    return rule != rules_->zones_.end() && rule->second.state_ == AvailabilityZoneState::Out;
+}
+
+auto ZonesController::moveJobs(SteadyTime now) -> void
+{
+    if (now < nextMoves_ || !rules_ || draining_) {
+        return;
+    }
+    nextMoves_ = now + MoveInterval;
+    for (auto &[id, zone] : zones_) {
+        if (zone->runtime_ && zone->runtime_->isScheduling()) {
+            moveJobsOf(*zone, now);
+        }
+    }
+}
+
+auto ZonesController::moveJobsOf(Zone &zone, SteadyTime now) -> void
 {
-    return spec.allowedZones_.empty() || std::find(spec.allowedZones_.begin(), spec.allowedZones_.end(), zone) != spec.allowedZones_.end();
+    const auto id = zone.ownership_.zone();
+    const auto isZoneOut = isOut(id);
+    auto open = jobs_.ledger().openJobs(id);
+    std::erase_if(zone.moving_, [&open](const JobId &job) {
+        return std::none_of(open.begin(), open.end(), [&job](const JobStatus &status) {
+            return status.spec_.id_ == job;
+        });
+    });
+    // The most urgent first, then the oldest: a zone that leaves may not leave time for all.
+    std::sort(open.begin(), open.end(), [](const JobStatus &left, const JobStatus &right) {
+        return std::tuple(right.spec_.priority_, left.submitted_, left.spec_.id_) < std::tuple(left.spec_.priority_, right.submitted_, right.spec_.id_);
+    });
+    const auto waitedEnough = std::chrono::system_clock::now() - MinWaitBeforeMove;
+    for (const auto &status : open) {
+        if (zone.moving_.size() >= MaxMovesAtOnce) {
+            return;
+        }
+        const auto isWaiting = status.state_ == JobState::Waiting && status.submitted_ <= waitedEnough;
+        if (zone.moving_.contains(status.spec_.id_) || (!isZoneOut && !isWaiting)) {
+            continue;
+        }
+        const auto to = isZoneOut ? chooser_.findRefuge(status.spec_, id, now) : chooser_.findRoom(status.spec_, id, now);
+        if (to) {
+            zone.moving_.insert(status.spec_.id_);
+            zone.runtime_->moveJob(status.spec_.id_, *to);
+        }
+    }
 }
 } // namespace Marjoramfold
--- a/marjoramfold/entry/zonescontroller.h
+++ b/marjoramfold/entry/zonescontroller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramfold/entry/joblog.h"
+#include "marjoramfold/entry/zonechooser.h"
 #include "marjoramfold/entry/zoneruntime.h"
 #include "marjoramfold/log/instancelist.h"
 #include "marjoramfold/membership/peermessages.h"
@@ -20,8 +21,6 @@
     /// Live entry instances that do not drain, this one included.
     std::function<std::vector<OwnershipCandidate>()> candidates_;
     std::function<std::set<InstanceId>()> confirmedDead_;
-    /// Free accelerators of an availability zone as its owner states them.
-    std::function<std::optional<ZoneCapacity>(const AvailabilityZoneId &zone)> capacity_;
     std::function<void(const JobId &job, const std::string &event)> traceJob_;
 };
 
@@ -49,7 +48,7 @@
     auto release() -> void;
 
     /// The availability zone to assign a new job to, or why there is none.
-    [[nodiscard]] auto chooseZone(const JobSpec &spec) const -> Result<AvailabilityZoneId>;
+    [[nodiscard]] auto chooseZone(const JobSpec &spec) -> Result<AvailabilityZoneId>;
 
     /// Owner and epoch of an availability zone by the log.
     [[nodiscard]] auto ownerOf(const AvailabilityZoneId &zone) const -> ZoneEpoch;
@@ -75,6 +74,8 @@
         std::optional<Epoch> wanted_;
         /// Jobs that the runtime was given.
         std::set<JobId> given_;
+        /// Jobs that are on their way to another zone, until the log shows them there.
+        std::set<JobId> moving_;
     };
 
     auto addZone(const AvailabilityZoneId &id) -> void;
@@ -84,10 +85,12 @@
     auto stopRuntime(Zone &zone) -> void;
     auto handleDecision(Zone &zone, const SchedulerCommand &command) -> void;
     auto assignOrphans(SteadyTime now) -> void;
+    auto moveJobs(SteadyTime now) -> void;
+    auto moveJobsOf(Zone &zone, SteadyTime now) -> void;
     auto giveWaitingJobs(Zone &zone) -> void;
     [[nodiscard]] auto workersOf(const AvailabilityZoneId &zone) const -> std::vector<WorkerInfo>;
     [[nodiscard]] auto toKnownJob(const JobStatus &status) const -> KnownJob;
-    [[nodiscard]] auto isCandidate(const JobSpec &spec, const AvailabilityZoneId &zone) const -> bool;
+    [[nodiscard]] auto isOut(const AvailabilityZoneId &zone) const -> bool;
 
     asio::io_context &context_;
     JobLog &jobs_;
@@ -103,6 +106,8 @@
     std::map<AvailabilityZoneId, std::vector<FollowedRecord>> unclaimed_;
     std::uint32_t capacityCounter_ = 0;
     SteadyTime nextOrphanCheck_{};
+    SteadyTime nextMoves_{};
+    ZoneChooser chooser_;
     bool draining_ = false;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/scheduling/events.h
+++ b/marjoramfold/scheduling/events.h
@@ -55,6 +55,13 @@
     RuleSetPointer rules_;
 };
 
+/// A job must move to another availability zone, which this scheduler does not own. Answered with a JobReassigned, at once for a
+/// waiting job and after its checkpoint and stop for a running one.
+struct JobWithdrawn {
+    JobId job_;
+    AvailabilityZoneId to_;
+};
+
 /// Whether starts are allowed in an availability zone by the freshness of the rules.
 struct StartGateChanged {
     AvailabilityZoneId zone_;
@@ -121,6 +128,7 @@
                                     JobArrived,
                                     GangRecovered,
                                     JobsCancelled,
+                                    JobWithdrawn,
                                     RulesChanged,
                                     StartGateChanged,
                                     TaskCommandResult,
--- a/marjoramfold/scheduling/joblifecycle.cpp
+++ b/marjoramfold/scheduling/joblifecycle.cpp
@@ -93,6 +93,31 @@
     }
 }
 
+auto JobLifecycle::withdraw(const JobWithdrawn &event) -> void
+{
+    auto *job = state_->jobs_.find(event.job_);
+    if (job == nullptr || (job->phase_ == GangPhase::Stopping && isFinal(job->afterStop_.state_))) {
+        return;
+    }
+    job->withdrawnTo_ = event.to_;
+    if (job->phase_ == GangPhase::Idle) {
+        handOver(*job);
+    } else if (job->phase_ == GangPhase::Running) {
+        evict(*job, "it moves to another availability zone");
+    } else if (job->phase_ != GangPhase::Stopping) {
+        stopper_.stop(*job, {JobState::Waiting, "it moves to another availability zone", std::nullopt, {}, false});
+    }
+}
+
+auto JobLifecycle::handOver(JobRecord &job) -> void
+{
+    state_->send(JobReassigned{job.spec_.id_, state_->zones_[job.zone_].id_, *job.withdrawnTo_, job.attempt_, job.progress_});
+    reservations_.dropDestination(job);
+    queue_.remove(job);
+    state_->jobs_.clearTimer(job);
+    state_->jobs_.remove(job);
+}
+
 auto JobLifecycle::end(JobRecord &job, const Verdict &verdict) -> void
 {
     if (job.phase_ == GangPhase::Idle) {
@@ -333,6 +358,10 @@
     }
     job.members_.clear();
     ++job.attempt_;
+    if (job.withdrawnTo_) {
+        handOver(job);
+        return;
+    }
     job.state_ = JobState::Waiting;
     job.rule_.reset();
     job.reason_ = "it waits for its turn";
--- a/marjoramfold/scheduling/joblifecycle.h
+++ b/marjoramfold/scheduling/joblifecycle.h
@@ -32,6 +32,9 @@
     auto arrive(const JobArrived &event) -> void;
     auto recover(const GangRecovered &event) -> void;
     auto cancel(const JobsCancelled &event) -> void;
+
+    /// Gives a job up for another availability zone.
+    auto withdraw(const JobWithdrawn &event) -> void;
     auto onCommandResult(const TaskCommandResult &event) -> void;
     auto onTaskEnded(const TaskEnded &event) -> void;
 
@@ -89,6 +92,7 @@
     auto onRunning(JobRecord &job) -> void;
     auto onReleased(JobRecord &job) -> void;
     auto requeue(JobRecord &job) -> void;
+    auto handOver(JobRecord &job) -> void;
     auto finish(JobRecord &job) -> void;
     auto close(JobRecord &job, const Verdict &verdict, bool report) -> void;
     auto onMemberFailed(JobRecord &job, std::size_t member, const std::string &reason) -> void;
--- a/marjoramfold/scheduling/jobrecord.h
+++ b/marjoramfold/scheduling/jobrecord.h
@@ -121,6 +121,9 @@
     /// Workers that are reserved for the next start of a gang that is being moved.
     std::optional<Destination> destination_;
 
+    /// Availability zone of another scheduler that gets the job as soon as it holds no worker.
+    std::optional<AvailabilityZoneId> withdrawnTo_;
+
     int startFailures_ = 0;
     int runFailures_ = 0;
     int renewFailures_ = 0;
--- a/marjoramfold/scheduling/scheduler.cpp
+++ b/marjoramfold/scheduling/scheduler.cpp
@@ -86,6 +86,11 @@
         lifecycle_.cancel(event);
     }
 
+    auto on(const JobWithdrawn &event) -> void
+    {
+        lifecycle_.withdraw(event);
+    }
+
     auto on(const RulesChanged &event) -> void
     {
         state_.rules_ = event.rules_;
--- a/standins/faultproxy/tcproute.cpp
+++ b/standins/faultproxy/tcproute.cpp
@@ -145,8 +145,7 @@
 };
 
 TcpRoute::TcpRoute(asio::io_context &context, RouteOptions options, std::uint64_t seed)
-    : context_(context)
-    , options_(std::move(options))
+    : options_(std::move(options))
     , acceptor_(context, {asio::ip::make_address(options_.listenAddress_), options_.listenPort_})
     , random_(seed)
 {
--- a/standins/faultproxy/tcproute.h
+++ b/standins/faultproxy/tcproute.h
@@ -35,7 +35,6 @@
     auto open(asio::ip::tcp::socket client) -> void;
     auto forgetClosed() -> void;
 
-    asio::io_context &context_;
     RouteOptions options_;
     asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<RouteFaults> faults_ = std::make_shared<RouteFaults>();
--- /dev/null
+++ b/tests/unit/test_zonechooser.cpp
@@ -0,0 +1,97 @@
+#include "marjoramfold/entry/zonechooser.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Marjoramfold;
+using namespace std::chrono_literals;
+
+namespace
+{
+const AvailabilityZoneId ZoneA("a");
+const AvailabilityZoneId ZoneB("b");
+const SteadyTime Now{1h};
+
+auto makeRules(AvailabilityZoneState stateOfA) -> RuleSetPointer
+{
+    auto rules = std::make_shared<RuleSet>();
+    rules->zones_[ZoneA] = {ZoneA, stateOfA, 4, 2, 8, {}};
+    rules->zones_[ZoneB] = {ZoneB, AvailabilityZoneState::In, 2, 2, 8, {}};
+    rules->guarantees_[TeamId("small")][ZoneB] = {TeamId("small"), ZoneB, 8, 8, {}};
+    return rules;
+}
+
+auto gang(const std::string &id, int size, const char *team = "other") -> JobSpec
+{
+    JobSpec spec;
+    spec.id_ = JobId(id);
+    spec.team_ = TeamId(team);
+    spec.gangSize_ = size;
+    spec.task_ = {8, 8, 1'000};
+    return spec;
+}
+
+auto chosen(ZoneChooser &chooser, const JobSpec &spec) -> AvailabilityZoneId
+{
+    const auto zone = chooser.choose(spec, Now);
+    REQUIRE(isOk(zone));
+    return valueOf(zone);
+}
+} // namespace
+
+SCENARIO("new jobs go where there is room for them", "[zones]")
+{
+    ZoneChooser chooser;
+    REQUIRE_FALSE(isOk(chooser.choose(gang("early", 1), Now)));
+    chooser.setRules(makeRules(AvailabilityZoneState::In));
+
+    THEN("a burst of submissions spreads, although the log shows none of them yet")
+    {
+        CHECK(chosen(chooser, gang("1", 2)) == ZoneA);
+        CHECK(chosen(chooser, gang("2", 1)) == ZoneA);
+        CHECK(chosen(chooser, gang("3", 1)) == ZoneB);
+    }
+    THEN("a team's guarantee draws its jobs to its zone")
+    {
+        CHECK(chosen(chooser, gang("1", 1, "small")) == ZoneB);
+    }
+    THEN("a gang that no zone holds is refused with a reason instead of waiting for ever")
+    {
+        const auto refused = chooser.choose(gang("1", 5), Now);
+        REQUIRE_FALSE(isOk(refused));
+        CHECK(errorOf(refused).kind_ == ErrorKind::JobCanNeverRun);
+    }
+    THEN("adjacency counts against a zone with small racks")
+    {
+        auto spec = gang("1", 3);
+        spec.adjacency_ = Adjacency::Rack;
+        CHECK_FALSE(isOk(chooser.choose(spec, Now)));
+    }
+    GIVEN("a zone that is out")
+    {
+        chooser.setRules(makeRules(AvailabilityZoneState::Out));
+        THEN("jobs go to the others, but one that fits only there waits for its return")
+        {
+            CHECK(chosen(chooser, gang("1", 2)) == ZoneB);
+            CHECK(chosen(chooser, gang("2", 4)) == ZoneA);
+        }
+        THEN("it gives no room to jobs that look for another zone")
+        {
+            CHECK(chooser.findRoom(gang("1", 1), ZoneB, Now) == std::nullopt);
+            CHECK(chooser.findRefuge(gang("1", 1), ZoneA, Now) == ZoneB);
+        }
+    }
+    GIVEN("open jobs in the log")
+    {
+        std::map<JobId, JobStatus> jobs;
+        jobs[JobId("running")].spec_ = gang("running", 4);
+        jobs[JobId("running")].zone_ = ZoneA;
+        jobs[JobId("running")].state_ = JobState::Running;
+        chooser.setJobs(jobs);
+        THEN("they count, and room elsewhere is found only when it is there")
+        {
+            CHECK(chosen(chooser, gang("1", 1)) == ZoneB);
+            CHECK(chooser.findRoom(gang("2", 1), ZoneA, Now) == ZoneB);
+            CHECK(chooser.findRoom(gang("3", 1), ZoneA, Now) == std::nullopt);
+        }
+    }
+}
