--- a/marjoramfold/entry/zoneruntime.h
+++ b/marjoramfold/entry/zoneruntime.h
@@ -43,6 +43,9 @@
     auto addJob(KnownJob job) -> void;
     auto cancelJobs(std::vector<JobId> jobs) -> void;
 
+    /// Gives a job up for another availability zone; its reassignment is recorded once no worker runs it.
+    auto moveJob(const JobId &job, const AvailabilityZoneId &to) -> void;
+
     /// Looks at timeouts and waiting jobs.
     auto tick() -> void;
 
@@ -75,7 +78,8 @@
     auto sendRenewals(const RenewLeases &renewals) -> void;
     auto sendProbe(const ProbeWorker &probe) -> void;
     auto toWorkerCommand(const TaskCommand &command, SteadyTime now) -> WorkerCommand;
-    auto handleResults(const WorkerId &worker, const std::vector<TaskCommand> &commands, Result<std::vector<WorkerCommandResult>> results) -> void;
+    auto handleResults(const WorkerId &worker, const std::vector<TaskCommand> &commands, Result<std::vector<WorkerCommandResult>> results, bool onlyFailures)
+        -> void;
     auto reportResult(const TaskCommand &command, const WorkerId &worker, std::optional<Error> error, std::chrono::milliseconds progress) -> void;
     [[nodiscard]] auto addressOf(const WorkerId &worker) const -> std::string;
 
