--- a/tests/unit/test_jobledger.cpp
+++ b/tests/unit/test_jobledger.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <random>
+#include <tuple>
 
 using namespace Marjoramfold;
 
@@ -31,23 +32,23 @@
     return spec;
 }
 
-/// A log with typed records.
+/// A log with typed records, each of which went through its JSON form.
 struct Log {
-    auto add(Record record) -> Offset
+    auto add(const Record &record) -> Offset
     {
-        records_.push_back(std::move(record));
+        const auto decoded = decodeRecord(encodeRecord(record));
+        REQUIRE(isOk(decoded));
+        records_.push_back(valueOf(decoded));
         return records_.size();
     }
 
-    /// Reads from an offset on, through the JSON form.
+    /// Reads from an offset on.
     [[nodiscard]] auto read(Offset first, JobLedgerOptions options = {}) const -> JobLedger
     {
         JobLedger ledger(options);
         ledger.startReading(first);
         for (auto offset = first; offset <= records_.size(); ++offset) {
-            const auto decoded = decodeRecord(encodeRecord(records_[offset - 1]));
-            REQUIRE(isOk(decoded));
-            ledger.apply(offset, timeAt(offset), valueOf(decoded));
+            ledger.apply(offset, timeAt(offset), records_[offset - 1]);
         }
         return ledger;
     }
@@ -74,6 +75,33 @@
     return lines;
 }
 
+/// All that the records of these tests can change in a job.
+auto contentOf(const JobStatus &job) -> decltype(auto)
+{
+    return std::tie(job.spec_.id_,
+                    job.spec_.team_,
+                    job.spec_.gangSize_,
+                    job.state_,
+                    job.zone_,
+                    job.attempt_,
+                    job.progress_,
+                    job.workers_,
+                    job.reason_,
+                    job.ruleLine_,
+                    job.ruleText_,
+                    job.submitted_,
+                    job.ended_,
+                    job.changedAt_);
+}
+
+/// True when two ledgers hold the same jobs in the same states.
+auto sameJobs(const JobLedger &left, const JobLedger &right) -> bool
+{
+    return std::equal(left.jobs().begin(), left.jobs().end(), right.jobs().begin(), right.jobs().end(), [](const auto &a, const auto &b) {
+        return contentOf(a.second) == contentOf(b.second);
+    });
+}
+
 /// Lines that only one of two descriptions has.
 auto differences(const std::vector<std::string> &left, const std::vector<std::string> &right) -> std::string
 {
@@ -372,8 +400,8 @@
     random.grow(150);
     random.snapshotAll();
     random.grow(150);
-    const auto whole = describe(random.log_.read(1));
-    REQUIRE_FALSE(whole.empty());
+    const auto whole = random.log_.read(1);
+    REQUIRE_FALSE(whole.jobs().empty());
     auto complete = 0;
     for (Offset first = 2; first <= random.log_.records_.size(); ++first) {
         auto ledger = random.log_.read(first);
@@ -382,8 +410,9 @@
         });
         if (isComplete) {
             ++complete;
-            CAPTURE(first, differences(describe(ledger), whole));
-            REQUIRE(differences(describe(ledger), whole).empty());
+            const auto isSame = sameJobs(ledger, whole);
+            CAPTURE(first, isSame ? "" : differences(describe(ledger), describe(whole)));
+            REQUIRE(isSame);
         }
     }
     // Otherwise the comparison would have had nothing to compare.
--- a/tests/unit/test_logappendqueue.cpp
+++ b/tests/unit/test_logappendqueue.cpp
@@ -183,7 +183,8 @@
     constexpr int Records = 200;
     for (auto i = 0; i < Records; ++i) {
         const auto id = std::to_string(i);
-        queue.append(recordOf(id), milliseconds(5), [&, id](const AppendReport &report) {
+        // Half of the records have so little time that some of them expire; the others must all be appended.
+        queue.append(recordOf(id), i % 2 == 0 ? milliseconds(5) : milliseconds(60'000), [&, id](const AppendReport &report) {
             if (report.outcome_ == AppendOutcome::UnknownYet) {
                 REQUIRE(unknown.insert(id).second);
                 return;
@@ -217,5 +218,5 @@
         REQUIRE(offsets[id].front() > last);
         last = offsets[id].front();
     }
-    REQUIRE(appended > 0);
+    REQUIRE(appended >= Records / 2);
 }
