Reuse the parsed lines of the rule set before

Each publish was parsed as TOML anew, although successive sets differ in few lines. A cache of the last file's lines is used by RuleStore.

--- a/marjoramfold/rules/rulechecker.cpp
+++ b/marjoramfold/rules/rulechecker.cpp
@@ -180,9 +180,9 @@
 }
 } // namespace
 
-auto checkRules(std::string_view text) -> RuleCheck
+auto checkRules(std::string_view text, RuleLineCache *cache) -> RuleCheck
 {
-    auto parsed = parseRules(text);
+    auto parsed = parseRules(text, cache);
     RuleCheck check{std::move(parsed.rules_), std::move(parsed.errors_), {}};
     if (checkShapes(check.rules_, !parsed.hasBrokenZones_, check.errors_)) {
         checkCapacity(check.rules_, check.errors_);
--- a/marjoramfold/rules/rulechecker.h
+++ b/marjoramfold/rules/rulechecker.h
@@ -22,6 +22,7 @@
     }
 };
 
-/// Parses a rules file and compares its rules with one another. The outcome depends on the text alone.
-[[nodiscard]] auto checkRules(std::string_view text) -> RuleCheck;
+/// Parses a rules file and compares its rules with one another. The outcome depends on the text alone; a cache changes
+/// only the time taken.
+[[nodiscard]] auto checkRules(std::string_view text, RuleLineCache *cache = nullptr) -> RuleCheck;
 } // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/rules/rulelinecache.cpp
@@ -0,0 +1,28 @@
+#include "marjoramfold/rules/rulelinecache.h"
+
+#include <utility>
+
+namespace Marjoramfold
+{
+auto RuleLineCache::parse(std::string_view line, int number, std::vector<RuleProblem> &errors) -> std::optional<RuleSyntax>
+{
+    std::string key(line);
+    auto known = previous_.extract(key);
+    if (!known.empty()) {
+        auto syntax = known.mapped();
+        syntax.line_.number_ = number;
+        current_.insert(std::move(known));
+        return syntax;
+    }
+    auto syntax = parseRuleLine(line, number, errors);
+    if (syntax) {
+        current_.emplace(std::move(key), *syntax);
+    }
+    return syntax;
+}
+
+auto RuleLineCache::endFile() -> void
+{
+    previous_ = std::exchange(current_, {});
+}
+} // namespace Marjoramfold
--- a/marjoramfold/rules/ruleparser.cpp
+++ b/marjoramfold/rules/ruleparser.cpp
@@ -2,6 +2,7 @@
 
 #include "marjoramfold/core/jobjson.h"
 #include "marjoramfold/rules/ruleline.h"
+#include "marjoramfold/rules/rulelinecache.h"
 
 #include <algorithm>
 #include <array>
@@ -181,7 +182,7 @@
 }
 } // namespace
 
-auto parseRules(std::string_view text) -> ParsedRules
+auto parseRules(std::string_view text, RuleLineCache *cache) -> ParsedRules
 {
     ParsedRules parsed;
     parsed.rules_.text_ = text;
@@ -199,12 +200,17 @@
             line.remove_suffix(1);
         }
         const auto errorsBefore = parsed.errors_.size();
-        if (const auto syntax = parseRuleLine(line, ++number, parsed.errors_)) {
+        ++number;
+        const auto syntax = cache != nullptr ? cache->parse(line, number, parsed.errors_) : parseRuleLine(line, number, parsed.errors_);
+        if (syntax) {
             addRule(*syntax, seen, parsed);
         }
         const auto isBroken = parsed.errors_.size() != errorsBefore;
         parsed.hasBrokenZones_ = parsed.hasBrokenZones_ || (isBroken && line.find("availability_zone") != std::string_view::npos);
     }
+    if (cache != nullptr) {
+        cache->endFile();
+    }
     return parsed;
 }
 
--- a/marjoramfold/rules/ruleparser.h
+++ b/marjoramfold/rules/ruleparser.h
@@ -31,8 +31,10 @@
     bool hasBrokenZones_ = false;
 };
 
-/// Parses a rules file. Each line is parsed on its own, so that every broken line is reported.
-[[nodiscard]] auto parseRules(std::string_view text) -> ParsedRules;
+class RuleLineCache;
+
+/// Parses a rules file. Each line is parsed on its own, so that every broken line is reported. A cache changes only the time taken.
+[[nodiscard]] auto parseRules(std::string_view text, RuleLineCache *cache = nullptr) -> ParsedRules;
 
 /// FILE:LINE:COLUMN: MESSAGE.
 [[nodiscard]] auto toString(std::string_view file, const RuleProblem &problem) -> std::string;
--- a/marjoramfold/rules/rulestore.cpp
+++ b/marjoramfold/rules/rulestore.cpp
@@ -178,7 +178,7 @@
         return;
     }
     PublishOutcome outcome{record.id_, offset, time, record.author_, record.baseVersion_, PublishDecision::Accepted, inForceByLog, {}, {}, {}, 0};
-    auto check = checkRules(record.text_);
+    auto check = checkRules(record.text_, &lineCache_);
     check.rules_.version_ = offset;
     if (record.baseVersion_ != inForceByLog) {
         outcome.decision_ = PublishDecision::StaleVersion;
--- a/marjoramfold/rules/rulestore.h
+++ b/marjoramfold/rules/rulestore.h
@@ -5,6 +5,7 @@
 #include "marjoramfold/core/rulerecords.h"
 #include "marjoramfold/rules/rulechecker.h"
 #include "marjoramfold/rules/rulediff.h"
+#include "marjoramfold/rules/rulelinecache.h"
 
 #include <chrono>
 #include <deque>
@@ -124,5 +125,6 @@
     std::deque<RuleSetPointer> baseSets_;
     std::deque<PublishOutcome> history_;
     std::optional<WallTime> newestRestatement_;
+    RuleLineCache lineCache_;
 };
 } // namespace Marjoramfold
--- a/tests/unit/test_rules.cpp
+++ b/tests/unit/test_rules.cpp
@@ -1,5 +1,6 @@
 #include "marjoramfold/rules/rulechecker.h"
 #include "marjoramfold/rules/rulediff.h"
+#include "marjoramfold/rules/rulelinecache.h"
 
 #include <catch2/catch.hpp>
 
@@ -142,6 +143,7 @@
 SCENARIO("random bytes never stop the parser", "[rules]")
 {
     std::mt19937 random(7);
+    RuleLineCache cache;
     const std::string signs = "abz.=-{}\"'#\\ \t\n\r1_[],\xC3\xA9\xFF";
     for (auto round = 0; round < 2'000; ++round) {
         auto text = Zones;
@@ -151,6 +153,11 @@
             text[at] = signs[std::uniform_int_distribution<std::size_t>(0, signs.size() - 1)(random)];
         }
         const auto check = checkRules(text);
+        // A cache that carried a fault or a line number from one file to the next would make readers disagree.
+        const auto cached = checkRules(text, &cache);
+        REQUIRE(cached.errors_ == check.errors_);
+        REQUIRE(cached.warnings_ == check.warnings_);
+        REQUIRE(diffRules(cached.rules_, check.rules_).empty());
         for (const auto &error : check.errors_) {
             REQUIRE(error.line_ >= 1);
             REQUIRE(error.column_ >= 1);
