--- a/marjoramfold/membership/peermessages.cpp
+++ b/marjoramfold/membership/peermessages.cpp
@@ -45,6 +45,9 @@
 template<typename Codec>
 auto fields(Codec &codec, ZoneDigest &digest) -> void;
 
+template<typename Codec>
+auto fields(Codec &codec, DigestRefresh &refresh) -> void;
+
 template<typename Codec, typename Item>
 auto list(Codec &codec, std::vector<Item> &items, std::size_t limit) -> void
 {
@@ -73,8 +76,6 @@
 auto fields(Codec &codec, ZoneDigest &digest) -> void
 {
     codec.identifier(digest.zone_);
-    codec.identifier(digest.delegate_);
-    codec.number(digest.delegateIncarnation_);
     codec.number(digest.counter_);
     codec.duration(digest.age_);
     codec.optionalDuration(digest.confirmationAge_);
@@ -87,18 +88,35 @@
     list(codec, digest.versions_, MaxVersionsInDigest);
 }
 
+template<typename Codec>
+auto fields(Codec &codec, DigestRefresh &refresh) -> void
+{
+    codec.number(refresh.zoneKey_);
+    codec.number(refresh.counter_);
+    codec.number(refresh.contentHash_);
+    codec.duration(refresh.age_);
+    codec.optionalDuration(refresh.confirmationAge_);
+}
+
 template<typename Codec>
 auto fields(Codec &codec, Heartbeat &message) -> void
 {
     codec.number(message.refutation_);
     codec.enumeration(message.status_, MemberStatus::Left);
-    fields(codec, message.state_);
+    codec.optional(message.state_, [&codec](NodeState &state) {
+        fields(codec, state);
+    });
 }
 
 template<typename Codec>
 auto fields(Codec &codec, DigestMessage &message) -> void
 {
-    fields(codec, message.digest_);
+    codec.optional(message.digest_, [&codec](ZoneDigest &digest) {
+        fields(codec, digest);
+    });
+    codec.optional(message.refresh_, [&codec](DigestRefresh &refresh) {
+        fields(codec, refresh);
+    });
     list(codec, message.capacities_, MaxZonesInMessage);
     codec.number(message.echoedCounter_);
     codec.duration(message.echoHeld_);
@@ -107,10 +125,8 @@
 template<typename Codec>
 auto fields(Codec &codec, ZoneGossip &message) -> void
 {
-    codec.identifier(message.delegate_);
-    codec.number(message.delegateIncarnation_);
-    codec.number(message.counter_);
     list(codec, message.digests_, MaxZonesInMessage);
+    list(codec, message.refreshes_, MaxZonesInMessage);
     list(codec, message.capacities_, MaxZonesInMessage);
 }
 
