Answer a caller once when its late exchange turns out unsent

Cause: the seeded random test found a second answer to a caller whose deadline had passed while its connection was still being made and was then refused.

Change: such an exchange only frees its key and answers the repeats that wait.

--- a/marjoramfold/routing/requestexchange.cpp
+++ b/marjoramfold/routing/requestexchange.cpp
@@ -155,14 +155,18 @@
 
 auto RequestDispatcher::finishNotRun(RequestNumber number, const Error &error) -> void
 {
-    const auto key = find(number)->key_;
+    const auto *active = find(number);
+    const auto isLate = active->stage_ == Stage::Late;
+    const auto key = active->key_;
     if (auto *entry = key.empty() ? nullptr : ledger_.find(key)) {
         assert(entry->number_ == number);
         const auto waiting = entry->waiting_;
         ledger_.remove(key);
         answerWaiting(waiting, Error{ErrorKind::NotRun, "the first request with this key was refused: " + error.message_, std::chrono::seconds(1)});
     }
-    answer(number, error);
+    if (!isLate) {
+        answer(number, error);
+    }
     erase(number);
 }
 
--- a/tests/unit/test_routingfaults.cpp
+++ b/tests/unit/test_routingfaults.cpp
@@ -170,6 +170,24 @@
     }
 }
 
+SCENARIO("a connection that is refused only after the deadline frees the key", "[routing]")
+{
+    RoutingHarness harness;
+    harness.start();
+    const auto key = harness.callerKey("k");
+    harness.arrive(1, key, false);
+    harness.readIntent(key, harness.self());
+    const auto send = harness.takeSend();
+    harness.pass(std::chrono::milliseconds(1'100));
+    CHECK(harness.ranOf(1) == Ran::Maybe);
+    harness.arrive(2, key, false);
+    // The caller of the first request has its answer already; the repeat that waits is told that nothing ran.
+    harness.answerFailed(*send, ExchangeOutcome::NotSent, ErrorKind::ConnectFailed);
+    CHECK(harness.ranOf(2) == Ran::No);
+    harness.arrive(3, key, false);
+    CHECK(harness.sends_.size() == 1);
+}
+
 SCENARIO("a request is refused before any work when it cannot run", "[routing]")
 {
     RoutingHarness harness;
--- /dev/null
+++ b/tests/unit/test_routingpool.cpp
@@ -0,0 +1,310 @@
+#include "marjoramfold/routing/requestqueues.h"
+#include "marjoramfold/routing/targetpool.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+using namespace Marjoramfold;
+
+namespace
+{
+constexpr auto Second = std::chrono::seconds(1);
+
+auto listOf(const std::vector<TargetInfo> &targets, WallTime asOf) -> TargetList
+{
+    return {asOf, targets};
+}
+
+auto info(const std::string &id, const std::string &zone, bool leaving = false) -> TargetInfo
+{
+    return {TargetId(id), AvailabilityZoneId(zone), id + ":80", leaving};
+}
+
+auto rulesWith(const std::string &zone, AvailabilityZoneState state) -> RuleSet
+{
+    RuleSet rules;
+    auto &rule = rules.zones_[AvailabilityZoneId(zone)];
+    rule.zone_ = AvailabilityZoneId(zone);
+    rule.state_ = state;
+    return rules;
+}
+
+/// A pool with the targets a1, a2 in the own availability zone and b1 in another.
+struct PoolFixture {
+    PoolFixture()
+        : pool_(options())
+    {
+        (void)pool_.applyList(listOf({info("a1", "cluj-a"), info("a2", "cluj-a"), info("b1", "brasov-b")}, now_.wall_));
+    }
+
+    static auto options() -> TargetPoolOptions
+    {
+        TargetPoolOptions options;
+        options.ownZone_ = AvailabilityZoneId("cluj-a");
+        options.slotsPerTarget_ = 2;
+        return options;
+    }
+
+    auto take(bool idempotent = true) -> std::string
+    {
+        const auto *target = pool_.take(idempotent, {}, now_.steady_, random_);
+        return target == nullptr ? "" : target->info_.id_.value();
+    }
+
+    auto release(const std::string &id, ExchangeOutcome outcome, std::chrono::microseconds latency = std::chrono::milliseconds(1)) -> void
+    {
+        pool_.release(TargetId(id), outcome, latency, now_);
+    }
+
+    /// Takes and fails until the target is ejected.
+    auto failTwice(const std::string &id) -> void
+    {
+        for (auto i = 0; i < 3; ++i) {
+            pool_.countFailure(TargetId(id), now_.steady_);
+        }
+    }
+
+    auto pass(std::chrono::milliseconds time) -> void
+    {
+        now_.steady_ += time;
+        now_.wall_ += time;
+    }
+
+    Moment now_{SteadyTime(std::chrono::hours(1)), WallTime(std::chrono::hours(24))};
+    RandomGenerator random_{7};
+    TargetPool pool_;
+};
+} // namespace
+
+SCENARIO("targets of the own availability zone come first and slots are bounded", "[routing]")
+{
+    PoolFixture fixture;
+    std::map<std::string, int> taken;
+    for (auto i = 0; i < 4; ++i) {
+        ++taken[fixture.take()];
+    }
+    CHECK(taken == std::map<std::string, int>{{"a1", 2}, {"a2", 2}});
+    CHECK(fixture.take() == "b1");
+    CHECK(fixture.take() == "b1");
+    CHECK(fixture.take().empty());
+    CHECK_FALSE(fixture.pool_.hasFreeSlot(fixture.now_.steady_));
+    fixture.release("a2", ExchangeOutcome::Answered);
+    CHECK(fixture.take() == "a2");
+}
+
+SCENARIO("a failing target is ejected for a time that doubles and comes back by one probe", "[routing]")
+{
+    PoolFixture fixture;
+    // The other target of the own availability zone leaves, so that a1 competes with b1 only.
+    fixture.pool_.markLeaving(TargetId("a2"), fixture.now_.wall_);
+    fixture.failTwice("a1");
+    CHECK(fixture.take() == "b1");
+
+    SECTION("not before its time is over")
+    {
+        fixture.pass(std::chrono::milliseconds(999));
+        CHECK(fixture.take() == "b1");
+    }
+
+    SECTION("with a single probe, and each failed probe doubles the time up to 30 s")
+    {
+        for (auto expected : {1, 2, 4, 8, 16, 30, 30}) {
+            fixture.pass(expected * Second - std::chrono::milliseconds(1));
+            CHECK(fixture.take() == "b1");
+            fixture.release("b1", ExchangeOutcome::Answered);
+            fixture.pass(std::chrono::milliseconds(1));
+            CHECK(fixture.take() == "a1");
+            CHECK(fixture.take() == "b1");
+            fixture.release("b1", ExchangeOutcome::Answered);
+            fixture.release("a1", ExchangeOutcome::Failed);
+        }
+    }
+
+    SECTION("and an answered probe brings it back")
+    {
+        fixture.pass(Second);
+        CHECK(fixture.take() == "a1");
+        fixture.release("a1", ExchangeOutcome::Answered);
+        CHECK(fixture.take() == "a1");
+        CHECK(fixture.take() == "a1");
+    }
+
+    SECTION("a request that is to run once is no probe while another target is healthy")
+    {
+        fixture.pass(Second);
+        CHECK(fixture.take(false) == "b1");
+    }
+
+    SECTION("a refused connection ejects at once")
+    {
+        CHECK(fixture.take() == "b1");
+        fixture.release("b1", ExchangeOutcome::NotSent);
+        CHECK(fixture.take().empty());
+    }
+}
+
+SCENARIO("a target that is much slower than the others is ejected", "[routing]")
+{
+    PoolFixture fixture;
+    for (auto i = 0; i < 40; ++i) {
+        const auto id = fixture.take();
+        fixture.release(id, ExchangeOutcome::Answered, std::chrono::milliseconds(id == "a1" ? 400 : 2));
+        // b1 is used as well, so that there is a majority.
+        if (i < 20) {
+            const auto a = fixture.take();
+            const auto b = fixture.take();
+            const auto c = fixture.take();
+            const auto d = fixture.take();
+            const auto e = fixture.take();
+            for (const auto &each : {a, b, c, d, e}) {
+                fixture.release(each, ExchangeOutcome::Answered, std::chrono::milliseconds(each == "a1" ? 400 : 2));
+            }
+        }
+    }
+    fixture.pool_.ejectSlow(fixture.now_.steady_);
+    std::set<std::string> taken;
+    for (auto i = 0; i < 4; ++i) {
+        taken.insert(fixture.take());
+    }
+    CHECK(taken == std::set<std::string>{"a2", "b1"});
+}
+
+SCENARIO("a leaving target gets no new work, whoever said so", "[routing]")
+{
+    PoolFixture fixture;
+    const auto takesFromA1 = [&fixture] {
+        std::set<std::string> taken;
+        for (auto i = 0; i < 6; ++i) {
+            const auto id = fixture.take();
+            if (!id.empty()) {
+                taken.insert(id);
+                fixture.release(id, ExchangeOutcome::Answered);
+            }
+        }
+        return taken.contains("a1");
+    };
+    REQUIRE(takesFromA1());
+
+    SECTION("the instance list")
+    {
+        fixture.pass(Second);
+        CHECK(fixture.pool_.applyList(listOf({info("a1", "cluj-a", true), info("a2", "cluj-a")}, fixture.now_.wall_)));
+        CHECK_FALSE(takesFromA1());
+        AND_THEN("an older list does not bring it back")
+        {
+            CHECK_FALSE(fixture.pool_.applyList(listOf({info("a1", "cluj-a")}, fixture.now_.wall_ - Second)));
+            CHECK_FALSE(takesFromA1());
+        }
+    }
+
+    SECTION("a rule that has its availability zone out")
+    {
+        fixture.pool_.applyRules(rulesWith("cluj-a", AvailabilityZoneState::Out));
+        CHECK(fixture.take() == "b1");
+        fixture.pool_.applyRules(rulesWith("cluj-a", AvailabilityZoneState::In));
+        CHECK(takesFromA1());
+    }
+
+    SECTION("a rule for targets that are listed only afterwards")
+    {
+        fixture.pool_.applyRules(rulesWith("sibiu-c", AvailabilityZoneState::Out));
+        fixture.pass(Second);
+        CHECK(fixture.pool_.applyList(listOf({info("c1", "sibiu-c")}, fixture.now_.wall_)));
+        CHECK(fixture.take().empty());
+    }
+
+    SECTION("its own refusal, until a list that is newer by more than its lag")
+    {
+        while (fixture.take() != "a1") {}
+        fixture.release("a1", ExchangeOutcome::RefusedLeaving);
+        for (const auto &id : {"a2", "b1"}) {
+            while (fixture.pool_.find(TargetId(id))->inFlight_ > 0) {
+                fixture.release(id, ExchangeOutcome::Answered);
+            }
+        }
+        CHECK_FALSE(takesFromA1());
+        fixture.pass(5 * Second);
+        CHECK(fixture.pool_.applyList(listOf({info("a1", "cluj-a"), info("a2", "cluj-a")}, fixture.now_.wall_)));
+        CHECK_FALSE(takesFromA1());
+        fixture.pass(6 * Second);
+        CHECK(fixture.pool_.applyList(listOf({info("a1", "cluj-a"), info("a2", "cluj-a")}, fixture.now_.wall_)));
+        CHECK(takesFromA1());
+    }
+}
+
+SCENARIO("queues are bounded and share the service between teams by weight", "[routing]")
+{
+    RequestQueues queues({5, 12});
+    const TeamId planners("planners");
+    const TeamId printers("printers");
+
+    SECTION("per team and priority, and in all")
+    {
+        for (RequestNumber i = 0; i < 5; ++i) {
+            CHECK(queues.push(planners, PriorityClass::Normal, i));
+        }
+        CHECK_FALSE(queues.push(planners, PriorityClass::Normal, 5));
+        CHECK_FALSE(queues.hasRoom(planners, PriorityClass::Normal));
+        for (RequestNumber i = 0; i < 5; ++i) {
+            CHECK(queues.push(planners, PriorityClass::Urgent, i));
+        }
+        CHECK(queues.push(printers, PriorityClass::Normal, 10));
+        CHECK(queues.push(printers, PriorityClass::Normal, 11));
+        CHECK_FALSE(queues.push(printers, PriorityClass::Normal, 12));
+    }
+
+    SECTION("the higher priority of a team goes first, in order of arrival")
+    {
+        CHECK(queues.push(planners, PriorityClass::Batch, 1));
+        CHECK(queues.push(planners, PriorityClass::Urgent, 2));
+        CHECK(queues.push(planners, PriorityClass::Urgent, 3));
+        CHECK(queues.push(planners, PriorityClass::Normal, 4));
+        for (const RequestNumber expected : {2, 3, 4, 1}) {
+            CHECK(queues.pop() == expected);
+        }
+        CHECK_FALSE(queues.pop().has_value());
+    }
+
+    SECTION("a team cannot starve another by marking its requests urgent")
+    {
+        RequestQueues wide({1'000, 2'000});
+        for (RequestNumber i = 0; i < 100; ++i) {
+            CHECK(wide.push(planners, PriorityClass::Urgent, i));
+            CHECK(wide.push(printers, PriorityClass::Batch, 1'000 + i));
+        }
+        auto printed = 0;
+        for (auto i = 0; i < 100; ++i) {
+            printed += *wide.pop() >= 1'000 ? 1 : 0;
+        }
+        CHECK(printed == 50);
+    }
+
+    SECTION("a priority rule gives a team more, in proportion to 10 plus its level")
+    {
+        RuleSet rules;
+        rules.priorities_[planners] = {planners, 20, {}};
+        RequestQueues wide({1'000, 2'000});
+        wide.applyRules(rules);
+        for (RequestNumber i = 0; i < 200; ++i) {
+            CHECK(wide.push(planners, PriorityClass::Normal, i));
+            CHECK(wide.push(printers, PriorityClass::Normal, 1'000 + i));
+        }
+        auto planned = 0;
+        for (auto i = 0; i < 200; ++i) {
+            planned += *wide.pop() < 1'000 ? 1 : 0;
+        }
+        CHECK(planned >= 149);
+        CHECK(planned <= 151);
+    }
+
+    SECTION("a removed request is not popped")
+    {
+        CHECK(queues.push(planners, PriorityClass::Normal, 1));
+        CHECK(queues.push(planners, PriorityClass::Normal, 2));
+        queues.remove(planners, PriorityClass::Normal, 1);
+        CHECK(queues.pop() == RequestNumber(2));
+        CHECK(queues.size() == 0);
+    }
+}
