Forward keys to the instance that owns them

Cause: a repeat of a key can arrive at any instance behind the balancer, while only the instance that issued the key or wrote its first intent may run it.

--- a/marjoramfold/api/requesthandlers.cpp
+++ b/marjoramfold/api/requesthandlers.cpp
@@ -234,7 +234,8 @@
 {
     const auto path = pathOf(request.target_);
     auto key = std::string(path.substr(RequestsPath.size() + 1));
-    routers_.fetch(threadIndex_, std::move(key), [respond](const KeyStatus &status) {
+    const auto forwarded = findHeader(request.headers_, "X-Forwarded-Instance").has_value();
+    routers_.fetch(threadIndex_, std::move(key), forwarded, [respond](const KeyStatus &status) {
         respond(toResponse(status));
     });
 }
--- a/marjoramfold/routing/router.cpp
+++ b/marjoramfold/routing/router.cpp
@@ -60,10 +60,10 @@
     handle(std::move(event));
 }
 
-auto Router::fetch(const std::string &key, KeyStatusCallback callback) -> void
+auto Router::fetch(const std::string &key, bool forwarded, KeyStatusCallback callback) -> void
 {
     auto status = dispatcher_.status(key, now().wall_);
-    if (status.state_ == KeyStatus::State::Elsewhere && hooks_.forwardQuery_) {
+    if (status.state_ == KeyStatus::State::Elsewhere && !forwarded && hooks_.forwardQuery_) {
         hooks_.forwardQuery_(*status.owner_, key, std::move(callback));
         return;
     }
--- a/marjoramfold/routing/routergroup.h
+++ b/marjoramfold/routing/routergroup.h
@@ -36,8 +36,9 @@
     /// Handles a request that arrived on a traffic thread; call it on that thread. The callback runs on the thread that owns the key.
     auto submit(std::size_t threadIndex, RoutedRequest request, AnswerCallback callback) -> void;
 
-    /// Answers what is known of a key; call it on the traffic thread of the index.
-    auto fetch(std::size_t threadIndex, std::string key, KeyStatusCallback callback) -> void;
+    /// Answers what is known of a key; call it on the traffic thread of the index. A query that another instance forwarded is
+    /// not forwarded again.
+    auto fetch(std::size_t threadIndex, std::string key, bool forwarded, KeyStatusCallback callback) -> void;
 
     /// A new issued key; Unauthorized when the instance has no secret for keys.
     [[nodiscard]] auto issueKey() -> Result<std::string>;
--- a/tests/contract/test_requestapi.cpp
+++ b/tests/contract/test_requestapi.cpp
@@ -2,6 +2,7 @@
 #include "marjoramfold/api/requesthandlers.h"
 #include "marjoramfold/http/httpclient.h"
 #include "marjoramfold/http/httpserver.h"
+#include "marjoramfold/routing/instanceforwarder.h"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -92,8 +93,15 @@
 class FakeEntry
 {
 public:
-    explicit FakeEntry(const std::string &target, const std::string &id = "entry-1")
-        : routers_({&contexts_[0], &contexts_[1]}, options(id), {})
+    /// Peers are looked up by instance id; the map must outlive the entry and not change while requests run.
+    explicit FakeEntry(const std::string &target, const std::string &id = "entry-1", const std::map<std::string, std::string> *peers = nullptr)
+        : forwarder_(contexts_[0],
+                     InstanceId(id),
+                     [peers](const InstanceId &instance) {
+                         const auto known = peers != nullptr && peers->contains(instance.value());
+                         return known ? std::optional(peers->at(instance.value())) : std::nullopt;
+                     })
+        , routers_({&contexts_[0], &contexts_[1]}, options(id), hooks())
     {
         auto list = std::make_shared<TargetList>();
         list->targets_.push_back({TargetId("t1"), AvailabilityZoneId("cluj-a"), target, false});
@@ -172,7 +180,20 @@
         return options;
     }
 
+    auto hooks() -> RouterHooks
+    {
+        RouterHooks hooks;
+        hooks.forwardRequest_ = [this](const InstanceIncarnation &owner, RoutedRequest request, AnswerCallback done) {
+            forwarder_.forwardRequest(owner, std::move(request), std::move(done));
+        };
+        hooks.forwardQuery_ = [this](const InstanceIncarnation &owner, std::string key, KeyStatusCallback done) {
+            forwarder_.forwardQuery(owner, std::move(key), std::move(done));
+        };
+        return hooks;
+    }
+
     std::array<asio::io_context, 2> contexts_;
+    InstanceForwarder forwarder_;
     RouterGroup routers_;
     std::vector<std::unique_ptr<RequestCommands>> commands_;
     std::vector<std::unique_ptr<RequestQueries>> queries_;
@@ -280,6 +301,45 @@
     }
 }
 
+SCENARIO("another instance passes an issued key on to its issuer", "[requestapi]")
+{
+    FakeTarget target;
+    std::map<std::string, std::string> peers;
+    FakeEntry issuer(target.address(), "entry-1", &peers);
+    const FakeEntry other(target.address(), "entry-2", &peers);
+    const auto key = issuer.issueKey();
+    const HttpHeaders headers = {{"X-Team", "planners"}, {"X-Idempotent", "false"}, {"Idempotency-Key", key}};
+
+    SECTION("which runs it once, and its answer can be fetched from both")
+    {
+        peers["entry-1"] = issuer.address();
+        CHECK(other.post(headers, "invoice").body_ == "done:invoice");
+        CHECK(issuer.post(headers, "invoice").body_ == "done:invoice");
+        CHECK(other.post(headers, "invoice", 1).body_ == "done:invoice");
+        CHECK(other.get(key).body_ == "done:invoice");
+        CHECK(other.get(key, 1).body_ == "done:invoice");
+        CHECK(target.executions(key) == 1);
+    }
+
+    SECTION("with its refusals as they are")
+    {
+        peers["entry-1"] = issuer.address();
+        CHECK(issuer.post(headers, "invoice").status_ == 200);
+        const auto refused = other.post(headers, "another invoice");
+        CHECK(errorKindOf(refused) == "invalid_request");
+        CHECK(ranOf(refused) == "no");
+    }
+
+    SECTION("and answers that it may have run when the issuer is not known or not reached")
+    {
+        CHECK(ranOf(other.post(headers, "invoice")) == "maybe");
+        CHECK(errorKindOf(other.get(key)) == "maybe_ran");
+        peers["entry-1"] = "127.0.0.1:1";
+        CHECK(ranOf(other.post(headers, "invoice")) == "maybe");
+        CHECK(target.executions(key) == 0);
+    }
+}
+
 SCENARIO("a caller's key needs the log", "[requestapi]")
 {
     FakeTarget target;
