--- a/tools/marjoramload.cpp
+++ b/tools/marjoramload.cpp
@@ -75,9 +75,9 @@
     }
     LoadRun run;
     run.mix_ = mix;
-    run.sendTime_ = std::chrono::duration<double>(FLAGS_seconds);
     for (const auto &load : loads) {
         run.samples_.insert(run.samples_.end(), load->samples().begin(), load->samples().end());
+        run.elapsed_ = std::max(run.elapsed_, load->elapsed());
         run.largestSendDelay_ = std::max(run.largestSendDelay_, load->largestSendDelay());
     }
     return run;
--- a/tools/marjoramload/loadthread.cpp
+++ b/tools/marjoramload/loadthread.cpp
@@ -69,6 +69,12 @@
     start_ = std::chrono::steady_clock::now();
     sendDue();
     context_.run();
+    elapsed_ = std::chrono::steady_clock::now() - start_;
+}
+
+auto LoadThread::elapsed() const -> std::chrono::duration<double>
+{
+    return elapsed_;
 }
 
 auto LoadThread::samples() const -> const std::vector<LoadSample> &
--- a/tools/marjoramload/loadthread.h
+++ b/tools/marjoramload/loadthread.h
@@ -71,6 +71,9 @@
     /// The requests, when run() has returned.
     [[nodiscard]] auto samples() const -> const std::vector<LoadSample> &;
 
+    /// Time from the first intended send to the last answer.
+    [[nodiscard]] auto elapsed() const -> std::chrono::duration<double>;
+
     /// Largest delay between an intended and the actual send time.
     [[nodiscard]] auto largestSendDelay() const -> std::chrono::microseconds;
 
@@ -107,6 +110,7 @@
     std::vector<Stream> streams_;
     std::vector<LoadSample> samples_;
     TimePoint start_;
+    std::chrono::duration<double> elapsed_{0};
     bool sendingEnded_ = false;
     std::size_t open_ = 0;
     std::size_t turn_ = 0;
--- a/tools/marjoramload/report.cpp
+++ b/tools/marjoramload/report.cpp
@@ -105,7 +105,7 @@
         all.add(sample);
         classes[static_cast<std::size_t>(sample.class_)].add(sample);
     }
-    const auto seconds = run.sendTime_.count();
+    const auto seconds = run.elapsed_.count();
     nlohmann::json report = {{"seconds", seconds},
                              {"largest_send_delay_ms", std::chrono::duration<double, std::milli>(run.largestSendDelay_).count()},
                              {"entry", describe(all, seconds)}};
--- a/tools/marjoramload/report.h
+++ b/tools/marjoramload/report.h
@@ -15,8 +15,8 @@
     LoadMix mix_;
     std::vector<LoadSample> samples_;
     AccountReport account_;
-    /// Time over which requests were sent.
-    std::chrono::duration<double> sendTime_{0};
+    /// Time from the first send to the last answer. Rates are taken over it, so that a backlog at the end lowers them.
+    std::chrono::duration<double> elapsed_{0};
     std::chrono::microseconds largestSendDelay_{0};
 };
 
