--- a/marjoramfold/entry/zoneruntime.cpp
+++ b/marjoramfold/entry/zoneruntime.cpp
@@ -133,6 +133,13 @@
     }
 }
 
+auto ZoneRuntime::moveJob(const JobId &job, const AvailabilityZoneId &to) -> void
+{
+    if (scheduling_) {
+        decide(JobWithdrawn{job, to});
+    }
+}
+
 auto ZoneRuntime::tick() -> void
 {
     const auto now = std::chrono::steady_clock::now();
@@ -396,7 +403,7 @@
     const auto traceparent = hooks_.traceparentOf_(commands.front().task_.job_);
     client_.send(addressOf(worker), batch, traceparent, [weak = weak_from_this(), worker, commands](Result<std::vector<WorkerCommandResult>> results) {
         if (const auto self = weak.lock()) {
-            self->handleResults(worker, commands, std::move(results));
+            self->handleResults(worker, commands, std::move(results), false);
         }
     });
 }
@@ -419,7 +426,8 @@
     }
     client_.send(addressOf(renewals.worker_), batch, "", [weak = weak_from_this(), worker = renewals.worker_, commands](auto results) {
         if (const auto self = weak.lock()) {
-            self->handleResults(worker, commands, std::move(results));
+            // Of the regular renewals the scheduler only wants to know those that failed.
+            self->handleResults(worker, commands, std::move(results), true);
         }
     });
 }
@@ -460,7 +468,10 @@
     return sent;
 }
 
-auto ZoneRuntime::handleResults(const WorkerId &worker, const std::vector<TaskCommand> &commands, Result<std::vector<WorkerCommandResult>> results) -> void
+auto ZoneRuntime::handleResults(const WorkerId &worker,
+                                const std::vector<TaskCommand> &commands,
+                                Result<std::vector<WorkerCommandResult>> results,
+                                bool onlyFailures) -> void
 {
     if (closed_) {
         return;
@@ -477,8 +488,7 @@
     }
     const auto &list = valueOf(results);
     for (std::size_t i = 0; i < list.size(); ++i) {
-        // The scheduler only waits for renewals that failed.
-        if (commands[i].kind_ != TaskCommandKind::Renew || list[i].error_) {
+        if (!onlyFailures || list[i].error_) {
             reportResult(commands[i], worker, list[i].error_, list[i].progress_);
         }
     }
--- a/marjoramfold/scheduling/gangstarter.h
+++ b/marjoramfold/scheduling/gangstarter.h
@@ -15,9 +15,15 @@
 
     auto setRunningHook(RunningHook hook) -> void;
 
-    /// Reserves a placement and sends the Hold commands.
+    /// Reserves a placement and sends the Hold commands, at once or when the gangs that were evicted for it are gone.
     auto begin(JobRecord &job, ZoneIndex zone, const GangPlacement &placement, bool guaranteed) -> void;
 
+    /// Starts a gang that was stopped for a move at its destination.
+    auto beginAtDestination(JobRecord &job) -> void;
+
+    /// Sends the Hold commands of gangs that waited for the workers freed during the present event.
+    auto advanceClaims() -> void;
+
     /// Takes a worker's answer to a Hold or Start, or to the Renew that confirms a gang.
     auto onResult(JobRecord &job, std::size_t member, const TaskCommandResult &result) -> void;
 
@@ -34,7 +40,10 @@
     auto giveUp(JobRecord &job, const std::string &reason) -> void;
 
 private:
+    auto claimOrHold(JobRecord &job) -> void;
     auto advance(JobRecord &job) -> void;
+    auto holdAll(JobRecord &job) -> void;
+    [[nodiscard]] auto hasRoom(const JobRecord &job) const -> bool;
     auto startAll(JobRecord &job) -> void;
     auto confirmAll(JobRecord &job) -> void;
     auto sendToAll(JobRecord &job, TaskCommandKind kind, std::chrono::milliseconds lease) -> void;
--- a/marjoramfold/scheduling/jobrecord.h
+++ b/marjoramfold/scheduling/jobrecord.h
@@ -7,13 +7,19 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Marjoramfold
 {
+/// A gang of this many accelerators fills several workers; without a reservation it starves behind small jobs.
+constexpr int LargeAccelerators = 32;
+
 /// Where a gang stands between its first Hold and the release of its last member.
 enum class GangPhase {
     Idle,
+    /// Has its workers reserved and waits until the gangs evicted for it are gone.
+    Claiming,
     Holding,
     Starting,
     Confirming,
@@ -61,16 +67,25 @@
     bool reported_ = false;
 };
 
+/// Where a gang goes once it is stopped.
+struct Destination {
+    ZoneIndex zone_ = 0;
+    GangPlacement placement_;
+    bool guaranteed_ = false;
+};
+
 /// Order of a waiting job; smaller goes first.
 struct QueueKey {
-    int classRank_ = 0;
-    int levelRank_ = 0;
+    bool isDeferrable_ = true;
     double score_ = 0;
     GangIndex job_ = 0;
-
-    auto operator<=>(const QueueKey &) const = default;
 };
 
+[[nodiscard]] inline auto operator<(const QueueKey &one, const QueueKey &other) -> bool
+{
+    return std::tie(one.isDeferrable_, one.score_, one.job_) < std::tie(other.isDeferrable_, other.score_, other.job_);
+}
+
 /// A job and, while it is placed, its gang.
 struct JobRecord {
     JobSpec spec_;
@@ -87,6 +102,8 @@
     Resources reserved_;
     /// Expected run time of the whole job, without what was saved.
     std::chrono::milliseconds expected_{0};
+    /// One standard deviation above the expected run time.
+    std::chrono::milliseconds pessimistic_{0};
     std::optional<QueueKey> queueKey_;
 
     GangPhase phase_ = GangPhase::Idle;
@@ -101,6 +118,11 @@
     SteadyTime runningSince_{};
     std::optional<SteadyTime> timer_;
     AfterStop afterStop_;
+    /// Workers that are reserved for the next start of a gang that is being moved.
+    std::optional<Destination> destination_;
+
+    /// Availability zone of another scheduler that gets the job as soon as it holds no worker.
+    std::optional<AvailabilityZoneId> withdrawnTo_;
 
     int startFailures_ = 0;
     int runFailures_ = 0;
@@ -113,6 +135,19 @@
         return {reserved_, spec_.gangSize_, spec_.adjacency_};
     }
 
+    /// Whether the gang gets a reservation while it waits.
+    [[nodiscard]] auto isLarge() const -> bool
+    {
+        return accelerators() >= LargeAccelerators;
+    }
+
+    /// Whether urgent work: it may evict any work that is not guaranteed.
+    [[nodiscard]] auto isUrgent() const -> bool
+    {
+        return spec_.priority_ == PriorityClass::Urgent;
+    }
+
+    /// Accelerators of all tasks together.
     [[nodiscard]] auto accelerators() const -> int
     {
         return reserved_.accelerators_ * spec_.gangSize_;
--- a/marjoramfold/scheduling/scheduler.cpp
+++ b/marjoramfold/scheduling/scheduler.cpp
@@ -1,7 +1,9 @@
 #include "marjoramfold/scheduling/scheduler.h"
 
+#include "marjoramfold/scheduling/guaranteepass.h"
 #include "marjoramfold/scheduling/joblifecycle.h"
 #include "marjoramfold/scheduling/queuepass.h"
+#include "marjoramfold/scheduling/relocation.h"
 
 namespace Marjoramfold
 {
@@ -12,7 +14,10 @@
     Impl(std::vector<AvailabilityZoneId> zones, const SchedulerOptions &options)
         : state_(std::move(zones), options)
         , lifecycle_(state_)
-        , queuePass_(state_, lifecycle_)
+        , decisions_(state_, lifecycle_)
+        , guaranteePass_(state_, decisions_)
+        , queuePass_(state_, decisions_)
+        , relocation_(state_, lifecycle_, decisions_)
     {
     }
 
@@ -24,6 +29,8 @@
                 on(concrete);
             },
             event);
+        lifecycle_.starter().advanceClaims();
+        guaranteePass_.run();
         auto commands = std::move(state_.outbox_);
         state_.outbox_.clear();
         return commands;
@@ -63,6 +70,10 @@
     auto on(const JobArrived &event) -> void
     {
         lifecycle_.arrive(event);
+        auto *job = state_.jobs_.find(event.spec_.id_);
+        if (job != nullptr && job->isUrgent() && job->queueKey_) {
+            decisions_.startUrgent(*job);
+        }
     }
 
     auto on(const GangRecovered &event) -> void
@@ -75,6 +86,11 @@
         lifecycle_.cancel(event);
     }
 
+    auto on(const JobWithdrawn &event) -> void
+    {
+        lifecycle_.withdraw(event);
+    }
+
     auto on(const RulesChanged &event) -> void
     {
         state_.rules_ = event.rules_;
@@ -84,12 +100,14 @@
             zone.out_ = rule != event.rules_->zones_.end() && rule->second.state_ == AvailabilityZoneState::Out;
         }
         lifecycle_.onRulesChanged();
+        state_.checkAllTeams();
     }
 
     auto on(const StartGateChanged &event) -> void
     {
         if (const auto zone = state_.findZone(event.zone_)) {
             state_.zones_[*zone].gateOpen_ = event.open_;
+            state_.checkAllTeams();
         }
     }
 
@@ -111,18 +129,28 @@
     {
         lifecycle_.onTick();
         lifecycle_.leases().renewDue();
+        guaranteePass_.retry();
+        const auto zone = decisions_.reservations().update();
+        relocation_.startLarge(zone);
         queuePass_.run();
+        if (state_.options_.compaction_) {
+            relocation_.compact(zone);
+        }
     }
 
     auto offer(WorkerIndex worker) -> void
     {
         const auto &record = state_.cluster_.worker(worker);
         state_.ledger_.setWorker(worker, record.zone_, record.isUsable() ? record.info_.capacity_.accelerators_ : 0);
+        state_.checkAllTeams();
     }
 
     SchedulerState state_;
     JobLifecycle lifecycle_;
+    StartDecisions decisions_;
+    GuaranteePass guaranteePass_;
     QueuePass queuePass_;
+    Relocation relocation_;
 };
 
 auto Scheduler::Impl::explain(const JobId &id) const -> std::optional<JobExplanation>
