Spare large gangs when guaranteed work can start in place of small work

A covered job could only evict within the zone of its guarantee, so it often displaced a large gang.

--- a/marjoramfold/scheduling/relocation.cpp
+++ b/marjoramfold/scheduling/relocation.cpp
@@ -124,12 +124,14 @@
         return state_->jobs_.at(index).isLarge() ? std::nullopt : decisions_->evictions().costForExchange(index);
     };
     for (ZoneIndex zone = 0; zone < state_->zones_.size(); ++zone) {
-        if (zone == from || !decisions_->isCovered(gang, zone)) {
+        // In the zone that it leaves, the gang still counts as guaranteed use; it is marked again once it has moved.
+        const auto stays = zone == from && decisions_->mayRunIn(gang, zone);
+        if (!stays && !decisions_->isCovered(gang, zone)) {
             continue;
         }
-        auto plan = decisions_->planGuaranteed(gang, zone, allows, costOf);
+        auto plan = stays ? decisions_->planner().plan(gang.shape(), zone, costOf, allows) : decisions_->planGuaranteed(gang, zone, allows, costOf);
         if (plan && (!best || plan->cost_ < best->plan_.cost_)) {
-            best = StartDecisions::ZonePlan{zone, std::move(*plan), true};
+            best = StartDecisions::ZonePlan{zone, std::move(*plan), !stays};
         }
     }
     return best;
--- a/marjoramfold/scheduling/startdecisions.cpp
+++ b/marjoramfold/scheduling/startdecisions.cpp
@@ -47,10 +47,40 @@
     if (!best) {
         return false;
     }
-    begin(job, best->zone_, best->plan_.placement_, true, best->plan_.victims_);
+    // A large gang is spared when small borrowed work elsewhere makes room.
+    const auto hasLargeVictim = std::any_of(best->plan_.victims_.begin(), best->plan_.victims_.end(), [this](GangIndex victim) {
+        return state_->jobs_.at(victim).isLarge();
+    });
+    if (hasLargeVictim) {
+        if (auto other = cheapestElsewhere(job)) {
+            best = std::move(other);
+        }
+    }
+    begin(job, best->zone_, best->plan_.placement_, best->isGuaranteed_, best->plan_.victims_);
     return true;
 }
 
+// Room in place of small borrowed work in the availability zones where the job is not within its team's guarantee.
+auto StartDecisions::cheapestElsewhere(const JobRecord &job) const -> std::optional<ZonePlan>
+{
+    const auto costOf = [this](GangIndex gang) {
+        const auto &victim = state_->jobs_.at(gang);
+        // Gangs that started lately are left alone, else two jobs could displace each other without end.
+        return victim.isLarge() && victim.phase_ != GangPhase::Stopping ? std::nullopt : evictions_.costForExchange(gang);
+    };
+    std::optional<ZonePlan> best;
+    for (ZoneIndex zone = 0; zone < state_->zones_.size(); ++zone) {
+        if (!mayRunIn(job, zone) || isCovered(job, zone)) {
+            continue;
+        }
+        auto plan = planner_.plan(job.shape(), zone, costOf, unreservedFilter(job));
+        if (plan && (!best || plan->cost_ < best->plan_.cost_)) {
+            best = ZonePlan{zone, std::move(*plan), false};
+        }
+    }
+    return best;
+}
+
 auto StartDecisions::cheapestGuaranteed(const JobRecord &job, bool usesReserved) const -> std::optional<ZonePlan>
 {
     const auto costOf = [this](GangIndex gang) {
--- a/marjoramfold/scheduling/startdecisions.h
+++ b/marjoramfold/scheduling/startdecisions.h
@@ -75,6 +75,7 @@
 
 private:
     [[nodiscard]] auto cheapestGuaranteed(const JobRecord &job, bool usesReserved) const -> std::optional<ZonePlan>;
+    [[nodiscard]] auto cheapestElsewhere(const JobRecord &job) const -> std::optional<ZonePlan>;
     [[nodiscard]] auto filterFor(const JobRecord &job, ZoneIndex zone) const -> Placer::WorkerFilter;
     [[nodiscard]] auto unreservedFilter(const JobRecord &job) const -> Placer::WorkerFilter;
 
