--- a/bench/experiment/fakecluster.cpp
+++ b/bench/experiment/fakecluster.cpp
@@ -15,8 +15,10 @@
 constexpr milliseconds LossDetection{2'500};
 /// Time until a task on a failing worker, or a crashing job, fails.
 constexpr milliseconds FailureDelay{2'000};
-/// Time until a task uses its whole memory and is first reported.
+/// Time until a task is first reported; the next reports of a young task come at twice its age.
 constexpr milliseconds FirstUsage{30'000};
+/// Time in which the memory of a task grows to all that it ever uses.
+constexpr milliseconds MemoryGrowth{120'000};
 /// Age of usage reports when they arrive.
 constexpr milliseconds UsageLag{10'000};
 
@@ -183,6 +185,7 @@
     task->progress_ = std::min(command.progress_, job.saved_);
     task->state_ = FakeTaskState::Computing;
     task->since_ = queue_.now();
+    task->started_ = queue_.now();
     task->leaseUntil_ = queue_.now() + command.lease_;
     task->generation_ = nextGeneration_++;
     jobs_.started(*task, queue_.now());
@@ -325,23 +328,30 @@
 
 auto FakeCluster::planUsage(const FakeTask &task, milliseconds delay) -> void
 {
-    whenCurrent(task, delay, [this](FakeWorker &worker, FakeTask &current) {
+    whenCurrent(task, delay, [this, delay](FakeWorker &worker, FakeTask &current) {
         const auto id = current.id_;
         reportUsage(worker, current);
         killLargestOverLease(worker);
         if (const auto *left = find(worker, id)) {
-            planUsage(*left, scenario_.usageInterval_);
+            const auto age = sinceThen(left->started_, queue_.now());
+            planUsage(*left, age < MemoryGrowth ? std::max(age, delay) : scenario_.usageInterval_);
         }
     });
 }
 
+auto FakeCluster::memoryOf(const FakeTask &task) const -> std::int64_t
+{
+    const auto age = std::min(MemoryGrowth, sinceThen(task.started_, queue_.now()));
+    return task.state_ == FakeTaskState::Held ? 0 : scenario_.jobs_[task.job_].trueMemoryMb_ * age.count() / MemoryGrowth.count();
+}
+
 auto FakeCluster::reportUsage(FakeWorker &worker, const FakeTask &task) -> void
 {
     UsageReported report;
     report.task_ = task.id_;
     report.worker_ = worker.info_.id_;
     report.used_ = task.resources_;
-    report.used_.memoryMb_ = scenario_.jobs_[task.job_].trueMemoryMb_;
+    report.used_.memoryMb_ = memoryOf(task);
     report.lag_ = UsageLag;
     queue_.after(UsageLag, [this, report] {
         deliver_(report);
@@ -355,7 +365,7 @@
     const FakeTask *worst = nullptr;
     std::int64_t worstExcess = 0;
     for (const auto &task : worker.tasks_) {
-        const auto memory = task.state_ == FakeTaskState::Held ? 0 : scenario_.jobs_[task.job_].trueMemoryMb_;
+        const auto memory = memoryOf(task);
         used += memory;
         if (task.state_ == FakeTaskState::Computing && memory - task.resources_.memoryMb_ > worstExcess) {
             worstExcess = memory - task.resources_.memoryMb_;
--- a/bench/experiment/fakecluster.h
+++ b/bench/experiment/fakecluster.h
@@ -74,6 +74,7 @@
     auto progressOf(const FakeTask &task) const -> std::chrono::milliseconds;
     auto planFinish(const FakeTask &task) -> void;
     auto planUsage(const FakeTask &task, std::chrono::milliseconds delay) -> void;
+    auto memoryOf(const FakeTask &task) const -> std::int64_t;
     auto reportUsage(FakeWorker &worker, const FakeTask &task) -> void;
     auto killLargestOverLease(FakeWorker &worker) -> void;
     auto planLeaseCheck(FakeWorker &worker) -> void;
--- a/bench/experiment/fakejobs.h
+++ b/bench/experiment/fakejobs.h
@@ -25,6 +25,7 @@
     Resources resources_;
     FakeTaskState state_ = FakeTaskState::Held;
     SteadyTime leaseUntil_;
+    SteadyTime started_;
     /// Start of the present stretch of computing, and progress at that time.
     SteadyTime since_;
     std::chrono::milliseconds progress_{0};
--- a/bench/experiment/harness.cpp
+++ b/bench/experiment/harness.cpp
@@ -178,6 +178,9 @@
     auto carryOut(const JobEnded &record) -> void
     {
         const auto normal = scenario_.jobs_[jobIndex_.at(record.job_)].kind_ == PlannedJobKind::Normal;
+        if (normal) {
+            recordedEnds_[jobIndex_.at(record.job_)] = record;
+        }
         ++records_[std::string(normal ? "" : "other_") + "job_ended_" + std::string(toString(record.state_))];
     }
     /// The policy of a run owns all availability zones, so a job that it gives up comes back to it through the log.
@@ -210,6 +213,12 @@
         return done_;
     }
 
+    [[nodiscard]] auto recordedEnd(std::size_t job) const -> std::string
+    {
+        const auto found = recordedEnds_.find(job);
+        return found == recordedEnds_.end() ? "" : " recorded=" + std::string(toString(found->second.state_)) + " reason=" + found->second.reason_;
+    }
+
     [[nodiscard]] auto unfinished() const -> std::vector<std::string>
     {
         std::vector<std::string> lines;
@@ -222,7 +231,7 @@
                                 + " submitted_s=" + std::to_string(std::chrono::duration_cast<seconds>(job.submitted_ - SteadyTime{}).count())
                                 + " run_s=" + std::to_string(std::chrono::duration_cast<seconds>(job.trueRunTime_).count())
                                 + " saved_s=" + std::to_string(std::chrono::duration_cast<seconds>(cluster_.jobs()[i].saved_).count())
-                                + " attempts=" + std::to_string(cluster_.jobs()[i].attempts_.size()));
+                                + " attempts=" + std::to_string(cluster_.jobs()[i].attempts_.size()) + recordedEnd(i));
             }
         }
         return lines;
@@ -258,6 +267,8 @@
     std::vector<float> decisionTimes_;
     std::vector<double> placingTimes_;
     std::map<std::string, int> records_;
+    /// Ends that the policy recorded for compared jobs, for people only.
+    std::unordered_map<std::size_t, JobEnded> recordedEnds_;
     std::int64_t memoryBefore_ = 0;
     bool done_ = false;
 };
