--- a/tests/unit/test_experiment_run.cpp
+++ b/tests/unit/test_experiment_run.cpp
@@ -30,6 +30,8 @@
 
     auto runUntil(int seconds) -> void
     {
+        // The clock of the queue moves with its events only.
+        queue_.schedule(ScenarioBuilder::at(seconds), [] {});
         while (queue_.runNext(ScenarioBuilder::at(seconds))) {}
     }
 
