Add quarantine, memory guard and evacuation of availability zones

Workers that fail three different jobs are quarantined and probed; tasks above their memory lease are throttled, then their gang starts again with the size that was seen; gangs leave a zone that is out by checkpoint to reserved destinations, eight at a time.

--- a/marjoramfold/scheduling/estimator.cpp
+++ b/marjoramfold/scheduling/estimator.cpp
@@ -14,10 +14,10 @@
 constexpr double RunTimeVariance = 1.0;
 
 // Finished runs before memory is reserved below its declaration.
-constexpr int MinMemoryRuns = 3;
+constexpr int MinMemoryRuns = 5;
 
-// Memory reserved above the learned peak, in percent of it.
-constexpr std::int64_t MemoryMarginPercent = 130;
+// Memory reserved over the largest share of a declaration that was used.
+constexpr double MemoryMargin = 1.3;
 
 constexpr double MinMilliseconds = 1.0;
 
@@ -63,7 +63,8 @@
 {
     auto &history = histories_[{spec.team_, spec.name_}];
     ++history.memoryRuns_;
-    history.peakMemoryMb_ = std::max(history.peakMemoryMb_, peakMb);
+    const auto declared = static_cast<double>(std::max<std::int64_t>(spec.task_.memoryMb_, 1));
+    history.memoryOverDeclared_ = std::max(history.memoryOverDeclared_, static_cast<double>(peakMb) / declared);
 }
 
 // Declarations may carry information (long runs declared longer) or not; the steadier of the two series weighs more.
@@ -91,6 +92,7 @@
     if (!learns_ || found == histories_.end() || found->second.memoryRuns_ < MinMemoryRuns) {
         return declared;
     }
-    return found->second.peakMemoryMb_ * MemoryMarginPercent / 100;
+    const auto share = std::min(found->second.memoryOverDeclared_ * MemoryMargin, 1.0);
+    return static_cast<std::int64_t>(static_cast<double>(declared) * share);
 }
 } // namespace Marjoramfold
--- a/marjoramfold/scheduling/estimator.h
+++ b/marjoramfold/scheduling/estimator.h
@@ -32,7 +32,7 @@
 
     [[nodiscard]] auto runTime(const JobSpec &spec) const -> RunTimeEstimate;
 
-    /// Memory to reserve per task: the declared size, or the learned peak with a margin once enough runs were seen.
+    /// Memory to reserve per task: the declared size, or less once enough runs of the kind used much less of their declarations.
     [[nodiscard]] auto memoryMb(const JobSpec &spec) const -> std::int64_t;
 
 private:
@@ -49,7 +49,8 @@
         LogSeries runTime_;
         LogSeries overDeclared_;
         int memoryRuns_ = 0;
-        std::int64_t peakMemoryMb_ = 0;
+        /// Largest use over declaration.
+        double memoryOverDeclared_ = 0;
     };
 
     using Key = std::pair<TeamId, std::string>;
--- a/marjoramfold/scheduling/gangstarter.cpp
+++ b/marjoramfold/scheduling/gangstarter.cpp
@@ -47,6 +47,7 @@
 
 auto GangStarter::claimOrHold(JobRecord &job) -> void
 {
+    ++state_->zones_[job.zone_].startingGangs_;
     job.state_ = JobState::Starting;
     job.reason_ = "its members are being started";
     if (hasRoom(job)) {
@@ -131,6 +132,7 @@
     } else if (job.phase_ == GangPhase::Confirming) {
         state_->jobs_.clearTimer(job);
         job.phase_ = GangPhase::Running;
+        --state_->zones_[job.zone_].startingGangs_;
         running_(job);
     }
 }
@@ -152,6 +154,7 @@
         member.lapsesBy_ = lapsesBy(state_->now_, state_->options_.runLease_);
     }
     job.runningSince_ = state_->now_;
+    ++state_->zones_[job.zone_].startingGangs_;
     confirmAll(job);
 }
 
--- a/marjoramfold/scheduling/gangstopper.cpp
+++ b/marjoramfold/scheduling/gangstopper.cpp
@@ -38,6 +38,8 @@
     const auto hasSentNothing = job.phase_ == GangPhase::Claiming;
     if (job.phase_ == GangPhase::Running) {
         state_->runningTasks_[job.zone_] -= static_cast<int>(job.members_.size());
+    } else {
+        --state_->zones_[job.zone_].startingGangs_;
     }
     job.phase_ = GangPhase::Stopping;
     job.phaseSince_ = state_->now_;
--- a/marjoramfold/scheduling/joblifecycle.cpp
+++ b/marjoramfold/scheduling/joblifecycle.cpp
@@ -13,6 +13,9 @@
 
 // Failed runs after which a job ends as failed although they were on few different workers.
 constexpr int MaxRunFailures = 9;
+
+// Memory reserved for a job whose use was seen above its lease, in percent of that use.
+constexpr std::int64_t SeenMemoryPercent = 110;
 } // namespace
 
 JobLifecycle::JobLifecycle(SchedulerState &state)
@@ -191,7 +194,10 @@
     if (taskFailed_) {
         taskFailed_(job, worker);
     }
-    const auto onWorkers = static_cast<int>(job.failedWorkers_.size());
+    // Failures on workers that turned out to be bad are not held against the job.
+    const auto onWorkers = static_cast<int>(std::count_if(job.failedWorkers_.begin(), job.failedWorkers_.end(), [this](WorkerIndex failed) {
+        return !state_->cluster_.worker(failed).quarantined_;
+    }));
     if (onWorkers >= state_->options_.maxFailedWorkers_ || job.runFailures_ >= MaxRunFailures) {
         end(job, {JobState::Failed, "it failed on " + std::to_string(onWorkers) + " different workers, last: " + reason, std::nullopt});
         return;
@@ -285,6 +291,7 @@
 auto JobLifecycle::updateExpectations(JobRecord &job) -> void
 {
     job.reserved_ = job.spec_.task_;
+    job.reserved_.memoryMb_ = std::max(state_->estimator_.memoryMb(job.spec_), job.peakMemoryMb_ * SeenMemoryPercent / 100);
     const auto estimate = state_->estimator_.runTime(job.spec_);
     job.expected_ = estimate.expected_;
     job.pessimistic_ = estimate.pessimistic_;
@@ -344,6 +351,14 @@
     }
     reservations_.dropDestination(job);
     updateExpectations(job);
+    // The margin above the memory that was seen must not make the job larger than any worker.
+    if (job.peakMemoryMb_ > 0 && admission_.judge(job)) {
+        job.reserved_.memoryMb_ = std::max(job.spec_.task_.memoryMb_, job.peakMemoryMb_);
+    }
+    if (const auto verdict = admission_.judge(job)) {
+        park(job, *verdict);
+        return;
+    }
     if (job.afterStop_.retryDelay_ > std::chrono::milliseconds(0)) {
         job.reason_ = "it is tried again after a delay: " + job.afterStop_.reason_;
         state_->jobs_.setTimer(job, state_->now_ + job.afterStop_.retryDelay_);
@@ -357,9 +372,14 @@
 {
     if (job.phase_ == GangPhase::Running) {
         state_->runningTasks_[job.zone_] -= static_cast<int>(job.members_.size());
+    } else {
+        --state_->zones_[job.zone_].startingGangs_;
     }
     const auto ranNow = std::chrono::duration_cast<std::chrono::milliseconds>(state_->now_ - job.runningSince_);
     state_->estimator_.learnRunTime(job.spec_, job.progress_ + ranNow);
+    if (job.peakMemoryMb_ > 0) {
+        state_->estimator_.learnMemory(job.spec_, job.peakMemoryMb_);
+    }
     job.phase_ = GangPhase::Idle;
     close(job, {JobState::Finished, "all members finished", std::nullopt}, true);
 }
@@ -380,6 +400,12 @@
     state_->jobs_.remove(job);
 }
 
+auto JobLifecycle::forget(JobRecord &job) -> void
+{
+    queue_.remove(job);
+    state_->jobs_.remove(job);
+}
+
 auto JobLifecycle::ended(const JobId &id) const -> const EndedJob *
 {
     const auto found = ended_.find(id);
--- a/marjoramfold/scheduling/joblifecycle.h
+++ b/marjoramfold/scheduling/joblifecycle.h
@@ -47,6 +47,12 @@
     /// Evicts a running gang so that it runs again later; the grace lets it checkpoint.
     auto evict(JobRecord &job, const std::string &reason) -> void;
 
+    /// Drops a waiting job that another scheduler takes over.
+    auto forget(JobRecord &job) -> void;
+
+    /// The job whose task runs on the worker in its present attempt, or null.
+    [[nodiscard]] auto findMember(const TaskId &task, const WorkerId &worker) -> JobRecord *;
+
     /// Ends a job that runs or waits, stopping its gang first if it has one.
     auto end(JobRecord &job, const Verdict &verdict) -> void;
 
@@ -94,7 +100,6 @@
     auto onMemberFailed(JobRecord &job, std::size_t member, const std::string &reason) -> void;
     auto updateExpectations(JobRecord &job) -> void;
     auto onTimer(JobRecord &job) -> void;
-    [[nodiscard]] auto findMember(const TaskId &task, const WorkerId &worker) -> JobRecord *;
 
     SchedulerState *state_;
     GangReservations reservations_;
--- a/marjoramfold/scheduling/jobrecord.h
+++ b/marjoramfold/scheduling/jobrecord.h
@@ -121,6 +121,9 @@
     /// Workers that are reserved for the next start of a gang that is being moved.
     std::optional<Destination> destination_;
 
+    /// Largest memory use of a task that was reported.
+    std::int64_t peakMemoryMb_ = 0;
+
     int startFailures_ = 0;
     int runFailures_ = 0;
     int renewFailures_ = 0;
--- a/marjoramfold/scheduling/relocation.cpp
+++ b/marjoramfold/scheduling/relocation.cpp
@@ -153,6 +153,22 @@
     return std::nullopt;
 }
 
+auto Relocation::moveElsewhere(JobRecord &gang) -> bool
+{
+    const auto destination = planDestination(gang, gang.zone_, [](WorkerIndex) {
+        return true;
+    });
+    if (!destination) {
+        return false;
+    }
+    lifecycle_->reservations().takeDestination(gang, {destination->zone_, destination->plan_.placement_, destination->isGuaranteed_});
+    for (const auto displaced : destination->plan_.victims_) {
+        lifecycle_->evict(state_->jobs_.at(displaced), "its workers were needed by guaranteed work that moved");
+    }
+    lifecycle_->evict(gang, "it moves to availability zone " + state_->zones_[destination->zone_].id_.value());
+    return true;
+}
+
 auto Relocation::compact(ZoneIndex zone) -> void
 {
     const auto &capacity = state_->cluster_.zone(zone);
--- a/marjoramfold/scheduling/relocation.h
+++ b/marjoramfold/scheduling/relocation.h
@@ -21,6 +21,9 @@
     /// Empties one partly used worker of an availability zone when its gangs fit into the gaps of others.
     auto compact(ZoneIndex zone) -> void;
 
+    /// Moves a gang to another availability zone, if there is room for it within its guarantee or on free workers.
+    auto moveElsewhere(JobRecord &gang) -> bool;
+
 private:
     auto startLargeJob(JobRecord &job, ZoneIndex zone) -> bool;
     auto reserveDestinations(const PreemptionPlan &plan, ZoneIndex from) -> std::optional<GangIndex>;
--- a/marjoramfold/scheduling/scheduler.cpp
+++ b/marjoramfold/scheduling/scheduler.cpp
@@ -1,7 +1,10 @@
 #include "marjoramfold/scheduling/scheduler.h"
 
+#include "marjoramfold/scheduling/evacuation.h"
 #include "marjoramfold/scheduling/guaranteepass.h"
 #include "marjoramfold/scheduling/joblifecycle.h"
+#include "marjoramfold/scheduling/memoryguard.h"
+#include "marjoramfold/scheduling/quarantine.h"
 #include "marjoramfold/scheduling/queuepass.h"
 #include "marjoramfold/scheduling/relocation.h"
 
@@ -18,7 +21,15 @@
         , guaranteePass_(state_, decisions_)
         , queuePass_(state_, decisions_)
         , relocation_(state_, lifecycle_, decisions_)
+        , evacuation_(state_, lifecycle_, decisions_, relocation_)
+        , quarantine_(state_)
+        , memoryGuard_(state_, lifecycle_)
     {
+        lifecycle_.setTaskFailedHook([this](const JobRecord &job, WorkerIndex worker) {
+            if (quarantine_.noteFailure(worker, job.spec_.id_)) {
+                offer(worker);
+            }
+        });
     }
 
     auto handle(const SchedulerEvent &event, SteadyTime now) -> std::vector<SchedulerCommand>
@@ -64,6 +75,7 @@
         if (const auto worker = state_.cluster_.find(event.worker_)) {
             state_.cluster_.setLeaving(*worker, true);
             offer(*worker);
+            evacuation_.onWorkerLeaving(*worker);
         }
     }
 
@@ -90,9 +102,9 @@
     {
         state_.rules_ = event.rules_;
         state_.ledger_.setRules(*event.rules_);
-        for (auto &zone : state_.zones_) {
-            const auto rule = event.rules_->zones_.find(zone.id_);
-            zone.out_ = rule != event.rules_->zones_.end() && rule->second.state_ == AvailabilityZoneState::Out;
+        for (ZoneIndex zone = 0; zone < state_.zones_.size(); ++zone) {
+            const auto rule = event.rules_->zones_.find(state_.zones_[zone].id_);
+            evacuation_.onZoneChanged(zone, rule != event.rules_->zones_.end() && rule->second.state_ == AvailabilityZoneState::Out);
         }
         lifecycle_.onRulesChanged();
         state_.checkAllTeams();
@@ -116,14 +128,25 @@
         lifecycle_.onTaskEnded(event);
     }
 
-    auto on(const UsageReported & /*event*/) -> void {}
+    auto on(const UsageReported &event) -> void
+    {
+        memoryGuard_.onUsage(event);
+    }
 
-    auto on(const ProbeResult & /*event*/) -> void {}
+    auto on(const ProbeResult &event) -> void
+    {
+        const auto worker = state_.cluster_.find(event.worker_);
+        if (worker && quarantine_.onProbe(*worker, event.healthy_)) {
+            offer(*worker);
+        }
+    }
 
     auto on(const Tick & /*event*/) -> void
     {
         lifecycle_.onTick();
         lifecycle_.leases().renewDue();
+        quarantine_.onTick();
+        evacuation_.onTick();
         guaranteePass_.retry();
         const auto zone = decisions_.reservations().update();
         relocation_.startLarge(zone);
@@ -146,6 +169,9 @@
     GuaranteePass guaranteePass_;
     QueuePass queuePass_;
     Relocation relocation_;
+    Evacuation evacuation_;
+    Quarantine quarantine_;
+    MemoryGuard memoryGuard_;
 };
 
 auto Scheduler::Impl::explain(const JobId &id) const -> std::optional<JobExplanation>
--- a/marjoramfold/scheduling/schedulerstate.cpp
+++ b/marjoramfold/scheduling/schedulerstate.cpp
@@ -11,7 +11,7 @@
     , runningTasks_(zones.size(), 0)
 {
     for (auto &zone : zones) {
-        zones_.push_back({std::move(zone), true, false});
+        zones_.push_back({std::move(zone), true, false, std::nullopt, 0});
     }
 }
 
--- a/marjoramfold/scheduling/schedulerstate.h
+++ b/marjoramfold/scheduling/schedulerstate.h
@@ -8,6 +8,7 @@
 #include "marjoramfold/scheduling/scheduleroptions.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -19,6 +20,10 @@
     AvailabilityZoneId id_;
     bool gateOpen_ = true;
     bool out_ = false;
+    /// When the zone came back, while the number of gangs that start there at once is limited.
+    std::optional<SteadyTime> returnedAt_;
+    /// Gangs between their reservation and their confirmation.
+    int startingGangs_ = 0;
 
     [[nodiscard]] auto mayStart() const -> bool
     {
--- a/marjoramfold/scheduling/startdecisions.cpp
+++ b/marjoramfold/scheduling/startdecisions.cpp
@@ -22,7 +22,9 @@
 
 auto StartDecisions::mayRunIn(const JobRecord &job, ZoneIndex zone) const -> bool
 {
-    return state_->zones_[zone].mayStart() && Admission::allowsZone(job.spec_, state_->zones_[zone].id_);
+    const auto &control = state_->zones_[zone];
+    const auto isPaced = control.returnedAt_ && control.startingGangs_ >= state_->options_.maxConcurrentMoves_;
+    return control.mayStart() && !isPaced && Admission::allowsZone(job.spec_, control.id_);
 }
 
 auto StartDecisions::isCovered(const JobRecord &job, ZoneIndex zone) const -> bool
