--- /dev/null
+++ b/marjoramfold/membership/zoneknowledge.cpp
@@ -0,0 +1,181 @@
+#include "marjoramfold/membership/zoneknowledge.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Marjoramfold
+{
+namespace
+{
+/// Versions that are remembered with the time when they came into force; enough for every publish of the last minutes.
+constexpr std::size_t MaxInForceRecords = 32;
+
+/// Most availability zones that are remembered.
+constexpr std::size_t MaxKnownZones = 256;
+
+/// True for a digest of the same delegate that is not newer. Another process starts its counter elsewhere.
+auto isRepeat(const ZoneDigest &known, const ZoneDigest &offered) -> bool
+{
+    constexpr std::uint32_t Window = 64;
+    return known.counter_ - offered.counter_ < Window;
+}
+
+/// FNV-1a hash; std::hash may differ between builds.
+auto hashOf(std::string_view text) -> std::uint32_t
+{
+    constexpr std::uint32_t OffsetBasis = 2'166'136'261U;
+    constexpr std::uint32_t Prime = 16'777'619U;
+    auto hash = OffsetBasis;
+    for (const auto c : text) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * Prime;
+    }
+    return hash;
+}
+
+auto precedence(const ZoneCapacity &capacity) -> std::tuple<Epoch, std::uint32_t>
+{
+    return {capacity.epoch_, capacity.counter_};
+}
+} // namespace
+
+auto contentHash(const ZoneDigest &digest) -> std::uint32_t
+{
+    auto text = digest.zone_.value();
+    const auto add = [&text](std::uint64_t value) {
+        text += '/' + std::to_string(value);
+    };
+    add(digest.confirmedVersion_);
+    add(static_cast<std::uint64_t>(digest.logState_));
+    add(digest.delegateHasNewest_ ? 1 : 0);
+    add(digest.liveInstances_);
+    add(digest.drainingInstances_);
+    add(digest.membersFingerprint_);
+    for (const auto &count : digest.versions_) {
+        add(count.version_);
+        add(count.instances_);
+    }
+    return hashOf(text);
+}
+
+auto refreshOf(const ZoneDigest &digest) -> DigestRefresh
+{
+    return {hashOf(digest.zone_.value()), digest.counter_, contentHash(digest), digest.age_, digest.confirmationAge_};
+}
+
+auto ZoneKnowledge::complete(const DigestRefresh &refresh) const -> std::optional<ZoneDigest>
+{
+    for (const auto &[zone, known] : digests_) {
+        if (hashOf(zone.value()) == refresh.zoneKey_ && contentHash(known.digest_) == refresh.contentHash_) {
+            auto digest = known.digest_;
+            digest.counter_ = refresh.counter_;
+            digest.age_ = refresh.age_;
+            digest.confirmationAge_ = refresh.confirmationAge_;
+            return digest;
+        }
+    }
+    return std::nullopt;
+}
+
+auto lowestVersion(const ZoneDigest &digest) -> Offset
+{
+    return digest.versions_.empty() ? 0 : digest.versions_.back().version_;
+}
+
+auto unconfirmedInstances(const ZoneDigest &digest, Offset version) -> unsigned
+{
+    unsigned count = 0;
+    for (const auto &entry : digest.versions_) {
+        count += entry.version_ < version ? entry.instances_ : 0U;
+    }
+    return count;
+}
+
+auto ZoneKnowledge::mergeDigest(const ZoneDigest &digest, SteadyTime madeAt, bool confirmationBounded, SteadyTime now) -> bool
+{
+    if (digest.zone_.isEmpty() || (!digests_.contains(digest.zone_) && digests_.size() >= MaxKnownZones)) {
+        return false;
+    }
+    auto &known = digests_[digest.zone_];
+    if (!known.digest_.zone_.isEmpty() && (isRepeat(known.digest_, digest) || madeAt <= known.madeAt_)) {
+        return false;
+    }
+    known = {digest, madeAt, confirmationBounded};
+
+    // Remember when the lowest version of the zone rose.
+    auto &records = inForce_[digest.zone_];
+    const auto lowest = lowestVersion(digest);
+    if (lowest > 0 && (records.empty() || records.back().version_ < lowest)) {
+        records.push_back({lowest, now});
+        if (records.size() > MaxInForceRecords) {
+            records.erase(records.begin());
+        }
+    }
+    return true;
+}
+
+auto ZoneKnowledge::mergeCapacity(const ZoneCapacity &capacity) -> bool
+{
+    if (capacity.zone_.isEmpty() || (!capacities_.contains(capacity.zone_) && capacities_.size() >= MaxKnownZones)) {
+        return false;
+    }
+    const auto [known, isNew] = capacities_.try_emplace(capacity.zone_, capacity);
+    if (!isNew && precedence(known->second) < precedence(capacity)) {
+        known->second = capacity;
+        return true;
+    }
+    return isNew;
+}
+
+auto ZoneKnowledge::find(const AvailabilityZoneId &zone) const -> const KnownDigest *
+{
+    const auto found = digests_.find(zone);
+    return found == digests_.end() ? nullptr : &found->second;
+}
+
+auto ZoneKnowledge::all() const -> const std::map<AvailabilityZoneId, KnownDigest> &
+{
+    return digests_;
+}
+
+auto ZoneKnowledge::capacity(const AvailabilityZoneId &zone) const -> const ZoneCapacity *
+{
+    const auto found = capacities_.find(zone);
+    return found == capacities_.end() ? nullptr : &found->second;
+}
+
+auto ZoneKnowledge::capacities() const -> const std::map<AvailabilityZoneId, ZoneCapacity> &
+{
+    return capacities_;
+}
+
+auto ZoneKnowledge::inForceSince(const AvailabilityZoneId &zone, Offset version) const -> std::optional<SteadyTime>
+{
+    const auto found = inForce_.find(zone);
+    if (found == inForce_.end()) {
+        return std::nullopt;
+    }
+    const auto record = std::find_if(found->second.begin(), found->second.end(), [version](const InForceRecord &candidate) {
+        return candidate.version_ >= version;
+    });
+    return record == found->second.end() ? std::nullopt : std::optional<SteadyTime>(record->seenAt_);
+}
+
+auto ZoneKnowledge::exported(SteadyTime now, std::chrono::milliseconds maxAge) const -> std::vector<ZoneDigest>
+{
+    std::vector<ZoneDigest> digests;
+    for (const auto &[zone, known] : digests_) {
+        const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - known.madeAt_);
+        if (age > maxAge || digests.size() >= MaxZonesInMessage) {
+            continue;
+        }
+        auto digest = known.digest_;
+        digest.age_ = std::max(age, std::chrono::milliseconds(0));
+        // A confirmation whose age is not bounded must not gain trust by being passed on.
+        if (!known.confirmationBounded_) {
+            digest.confirmationAge_.reset();
+        }
+        digests.push_back(std::move(digest));
+    }
+    return digests;
+}
+} // namespace Marjoramfold
