--- a/marjoramfold/entry/peercontroller.cpp
+++ b/marjoramfold/entry/peercontroller.cpp
@@ -68,6 +68,9 @@
     , server_(context, {settings.id_, incarnation}, keys_, makeHandlers())
     , client_(context, {settings.id_, incarnation}, keys_)
 {
+    for (const auto &peer : settings.peers_) {
+        routes_[peer.id_] = peer.address_;
+    }
 }
 
 auto PeerController::start() -> void
@@ -101,7 +104,7 @@
 auto PeerController::spreadLeavingTargets(const std::vector<TargetId> &targets) -> void
 {
     for (const auto &peer : view().livePeers()) {
-        client_.sendTargetList({peer.id_, peer.address_}, {targets}, TargetListTimeout, [](const Result<Success> &) {});
+        client_.sendTargetList({peer.id_, routeTo(peer.id_, peer.address_)}, {targets}, TargetListTimeout, [](const Result<Success> &) {});
     }
 }
 
@@ -117,7 +120,7 @@
         done(Error{ErrorKind::MaybeRan, "the instance that issued the key is not reachable", std::nullopt});
         return;
     }
-    client_.forward({peer->id_, peer->address_}, std::move(key), std::move(body), timeout, std::move(done));
+    client_.forward({peer->id_, routeTo(peer->id_, peer->address_)}, std::move(key), std::move(body), timeout, std::move(done));
 }
 
 auto PeerController::view() const -> const MembershipView &
@@ -139,7 +142,9 @@
 {
     for (const auto &command : membership_.handle(event, now)) {
         if (const auto *send = std::get_if<SendDatagram>(&command)) {
-            transport_.send(*send);
+            auto routed = *send;
+            routed.address_ = routeTo(send->recipient_, send->address_);
+            transport_.send(routed);
         } else if (const auto *changed = std::get_if<MemberChanged>(&command)) {
             LOG(INFO) << "member_changed instance=" << changed->member_.id_.value() << " availability_zone=" << changed->member_.zone_.value()
                       << " incarnation=" << changed->member_.incarnation_ << " status=" << nameOf(changed->member_.status_);
@@ -158,7 +163,7 @@
         return;
     }
     fetchingRules_ = true;
-    client_.requestRuleSet({newest.holder_, newest.address_}, version, RulesFetchTimeout, [this](const Result<RuleSetReply> &reply) {
+    client_.requestRuleSet({newest.holder_, routeTo(newest.holder_, newest.address_)}, version, RulesFetchTimeout, [this](const Result<RuleSetReply> &reply) {
         fetchingRules_ = false;
         nextRulesFetch_ = std::chrono::steady_clock::now() + RulesFetchPause;
         if (isOk(reply) && !valueOf(reply).text_.empty()) {
@@ -183,4 +188,10 @@
     };
     return handlers;
 }
+
+auto PeerController::routeTo(const InstanceId &id, const std::string &address) const -> std::string
+{
+    const auto route = routes_.find(id);
+    return route == routes_.end() ? address : route->second;
+}
 } // namespace Marjoramfold
--- a/marjoramfold/entry/peercontroller.h
+++ b/marjoramfold/entry/peercontroller.h
@@ -13,6 +13,7 @@
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <string>
 
 namespace Marjoramfold
@@ -69,9 +70,12 @@
     auto handle(const MembershipEvent &event, SteadyTime now) -> void;
     auto fetchNewerRules(SteadyTime now) -> void;
     [[nodiscard]] auto makeHandlers() -> PeerHandlers;
+    [[nodiscard]] auto routeTo(const InstanceId &id, const std::string &address) const -> std::string;
 
     std::string listenAddress_;
     std::uint16_t peerPort_;
+    /// Addresses of the settings. They win over what an instance says of itself, since the way to it may lead over a forwarder.
+    std::map<InstanceId, std::string> routes_;
     PeerControllerHooks hooks_;
     KeyRing keys_;
     Membership membership_;
--- a/marjoramfold/scheduling/relocation.cpp
+++ b/marjoramfold/scheduling/relocation.cpp
@@ -124,12 +124,14 @@
         return state_->jobs_.at(index).isLarge() ? std::nullopt : decisions_->evictions().costForExchange(index);
     };
     for (ZoneIndex zone = 0; zone < state_->zones_.size(); ++zone) {
-        if (zone == from || !decisions_->isCovered(gang, zone)) {
+        // In the zone that it leaves, the gang still counts as guaranteed use; it is marked again once it has moved.
+        const auto stays = zone == from && decisions_->mayRunIn(gang, zone);
+        if (!stays && !decisions_->isCovered(gang, zone)) {
             continue;
         }
-        auto plan = decisions_->planGuaranteed(gang, zone, allows, costOf);
+        auto plan = stays ? decisions_->planner().plan(gang.shape(), zone, costOf, allows) : decisions_->planGuaranteed(gang, zone, allows, costOf);
         if (plan && (!best || plan->cost_ < best->plan_.cost_)) {
-            best = StartDecisions::ZonePlan{zone, std::move(*plan), true};
+            best = StartDecisions::ZonePlan{zone, std::move(*plan), !stays};
         }
     }
     return best;
@@ -151,6 +153,22 @@
     return std::nullopt;
 }
 
+auto Relocation::moveElsewhere(JobRecord &gang) -> bool
+{
+    const auto destination = planDestination(gang, gang.zone_, [](WorkerIndex) {
+        return true;
+    });
+    if (!destination) {
+        return false;
+    }
+    lifecycle_->reservations().takeDestination(gang, {destination->zone_, destination->plan_.placement_, destination->isGuaranteed_});
+    for (const auto displaced : destination->plan_.victims_) {
+        lifecycle_->evict(state_->jobs_.at(displaced), "its workers were needed by guaranteed work that moved");
+    }
+    lifecycle_->evict(gang, "it moves to availability zone " + state_->zones_[destination->zone_].id_.value());
+    return true;
+}
+
 auto Relocation::compact(ZoneIndex zone) -> void
 {
     const auto &capacity = state_->cluster_.zone(zone);
