--- a/tests/contract/test_marjoramctl.cpp
+++ b/tests/contract/test_marjoramctl.cpp
@@ -382,6 +382,23 @@
     }
 }
 
+SCENARIO("the history shows how publishes were decided", "[ctl]")
+{
+    const json line{{"line", 3}, {"text", "priority.planners = { level = 60 }"}, {"asked_by", "M. Dan"}};
+    FakeEntry entry([&line](const HttpServerRequest & /*request*/) {
+        const json change{{"key", "priority.planners"}, {"before", nullptr}, {"after", line}};
+        return jsonAnswer({{"publishes",
+                            {{{"version", 7},
+                              {"decision", "accepted"},
+                              {"author", "ann"},
+                              {"base_version", 5},
+                              {"time_ms", 1'800'000'000'000},
+                              {"changes", json::array({change})}}}}});
+    });
+    REQUIRE(run({"rules", "history", "--entry", entry.address()}).out_
+            == "version 7  accepted  by ann  from 5  2027-01-15T08:00:00Z\n  + priority.planners = { level = 60 }\n");
+}
+
 SCENARIO("waiting for a job ends with its outcome", "[ctl]")
 {
     const auto finalState = GENERATE(std::string("finished"), std::string("failed"), std::string("cancelled"));
--- a/tools/marjoramctl/entryclient.cpp
+++ b/tools/marjoramctl/entryclient.cpp
@@ -128,7 +128,7 @@
 
 auto toText(const EntryError &error) -> std::string
 {
-    const auto *ran = error.ran_ == "no" ? " (not run)" : error.ran_ == "maybe" ? " (may have run)" : " (ran)";
+    const auto *ran = error.ran_ == "no" ? " (not run)" : error.ran_ == "maybe" ? " (may have run)" : error.ran_ == "yes" ? " (ran)" : "";
     auto text = error.kind_ + ran + ": " + error.message_;
     if (error.retryAfter_.count() > 0) {
         text += "; try again in " + std::to_string(error.retryAfter_.count()) + " ms";
--- a/tools/marjoramctl/entryclient.h
+++ b/tools/marjoramctl/entryclient.h
@@ -24,7 +24,7 @@
     /// Name of the kind, as the entry sent it or by ErrorKind.
     std::string kind_;
     std::string message_;
-    /// Whether the work ran: "no", "maybe" or "yes".
+    /// Whether the work ran: "no", "maybe" or "yes"; empty when nothing was asked to run.
     std::string ran_;
     std::chrono::milliseconds retryAfter_{0};
     /// The whole error object of the entry, when it sent one.
--- a/tools/marjoramctl/jobcommands.cpp
+++ b/tools/marjoramctl/jobcommands.cpp
@@ -124,7 +124,7 @@
             }
         }
         if (isOver) {
-            return reportError(call.terminal_, {"timeout", "the job has not ended within --wait_s", "maybe", {}, nullptr});
+            return reportError(call.terminal_, {"timeout", "the job has not ended within --wait_s", "", {}, nullptr});
         }
         std::this_thread::sleep_for(StateInterval);
     }
--- a/tools/marjoramctl/rulescommands.cpp
+++ b/tools/marjoramctl/rulescommands.cpp
@@ -2,7 +2,9 @@
 #include "marjoramfold/rules/rulechecker.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <ctime>
 #include <set>
 #include <thread>
 
@@ -229,6 +231,37 @@
     });
 }
 
+/// Time of day in UTC.
+auto timeText(std::int64_t unixMilliseconds) -> std::string
+{
+    const std::time_t seconds = unixMilliseconds / 1'000;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> text{};
+    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return text.data();
+}
+
+/// One publish of the history: a line for it, and the lines that it changed or collided on.
+auto writePublish(std::ostream &out, const json &publish) -> void
+{
+    out << "version " << textOr(publish, "version", "?") << "  " << textOr(publish, "decision", "?") << "  by " << textOr(publish, "author", "?") << "  from "
+        << textOr(publish, "base_version", "?") << "  " << timeText(numberOr(publish, "time_ms", 0)) << '\n';
+    const auto writeLine = [&out](const char *mark, const json &change, const char *side) {
+        if (change.is_object() && change.contains(side) && change[side].is_object()) {
+            out << "  " << mark << ' ' << textOr(change[side], "text", "") << '\n';
+        }
+    };
+    for (const auto &change : listOf(publish, "changes")) {
+        writeLine("-", change, "before");
+        writeLine("+", change, "after");
+    }
+    for (const auto &collision : listOf(publish, "collisions")) {
+        writeLine("in force: ", collision, "in_force");
+        writeLine("published:", collision, "published");
+    }
+}
+
 auto runHistory(Invocation &call) -> ExitCode
 {
     const auto answer = call.entries_.send({"GET", "/v1/rules/history", nullptr, Repeat::Safe});
@@ -236,7 +269,9 @@
         return reportError(call.terminal_, *error);
     }
     return report(call.terminal_, std::get<0>(answer), [&] {
-        writeReadable(call.terminal_.out_, std::get<0>(answer));
+        for (const auto &publish : listOf(std::get<0>(answer), "publishes")) {
+            writePublish(call.terminal_.out_, publish);
+        }
     });
 }
 } // namespace
