Answer 'not run' only when no record of a request can be in the log

A submission appends two records. When the first was appended and the second expired, the caller was told 'not run' although the job was in the log and would be assigned later; the join now waits for all reports and answers 'maybe ran'. Backoffs without a seed differ between instances; all instances used the same one before, so their retries ran in step.

--- a/marjoramfold/entry/joblog.cpp
+++ b/marjoramfold/entry/joblog.cpp
@@ -34,11 +34,11 @@
     return options;
 }
 
-/// The error of an append that was not confirmed, for the caller who waits for it.
-auto errorOfReport(const AppendReport &report) -> Error
+/// The error of appends that were not all confirmed, for the caller who waits for them. "Not run" only when none may be in the log.
+auto errorOfReports(bool mayBeInLog, const std::string &reason) -> Error
 {
-    if (report.outcome_ == AppendOutcome::NotAppended) {
-        return {ErrorKind::LogUnavailable, "the platform's log did not take the record: " + report.error_.message_, RetryAfter};
+    if (!mayBeInLog) {
+        return {ErrorKind::LogUnavailable, "the platform's log did not take the record: " + reason, RetryAfter};
     }
     return {ErrorKind::MaybeRan, "the platform's log did not answer; ask for the job by its id", RetryAfter};
 }
@@ -52,7 +52,8 @@
     return json;
 }
 
-/// Answers a caller once for several appends: with the document when all succeeded, else with the first error.
+/// Answers a caller once for several appends, when each has been reported: with the document when all succeeded, else with an error.
+/// The records may end in different batches, so one of them may be in the log although another is not.
 class AppendJoin
 {
 public:
@@ -68,10 +69,20 @@
         if (!done_) {
             return;
         }
-        if (report.outcome_ != AppendOutcome::Appended) {
-            std::exchange(done_, nullptr)(errorOfReport(report));
-        } else if (--left_ == 0) {
-            std::exchange(done_, nullptr)(std::move(document_));
+        if (report.outcome_ == AppendOutcome::NotAppended) {
+            refusal_ = report.error_.message_;
+        } else {
+            mayBeInLog_ = true;
+        }
+        allAppended_ = allAppended_ && report.outcome_ == AppendOutcome::Appended;
+        if (--left_ > 0) {
+            return;
+        }
+        const auto done = std::exchange(done_, nullptr);
+        if (allAppended_) {
+            done(std::move(document_));
+        } else {
+            done(errorOfReports(mayBeInLog_, refusal_));
         }
     }
 
@@ -79,6 +90,9 @@
     std::size_t left_;
     nlohmann::json document_;
     JsonCallback done_;
+    bool allAppended_ = true;
+    bool mayBeInLog_ = false;
+    std::string refusal_;
 };
 } // namespace
 
--- a/marjoramfold/entry/rulescontroller.cpp
+++ b/marjoramfold/entry/rulescontroller.cpp
@@ -187,7 +187,8 @@
 
 auto RulesController::confirmedAt() const -> std::optional<SteadyTime>
 {
-    return follower_.confirmedAt();
+    // While publishes that were read wait undecided, the set in force may be older than what the log holds.
+    return store_.decidedUpTo() == 0 ? std::nullopt : follower_.confirmedAt();
 }
 
 auto RulesController::unreachableSince() const -> std::optional<SteadyTime>
--- a/marjoramfold/log/backoff.cpp
+++ b/marjoramfold/log/backoff.cpp
@@ -7,7 +7,7 @@
 Backoff::Backoff(BackoffOptions options, std::uint64_t seed)
     : options_(options)
     , current_(options.first_)
-    , random_(seed)
+    , random_(seed != 0 ? seed : std::random_device{}())
 {
 }
 
--- a/marjoramfold/log/backoff.h
+++ b/marjoramfold/log/backoff.h
@@ -16,6 +16,7 @@
 class Backoff
 {
 public:
+    /// Seed 0 takes a random one, so that the instances of a fleet differ.
     Backoff(BackoffOptions options, std::uint64_t seed);
 
     /// Delay before the next try.
--- a/tests/unit/test_logcursor.cpp
+++ b/tests/unit/test_logcursor.cpp
@@ -90,6 +90,18 @@
     }
 }
 
+SCENARIO("backoffs of two instances do not run in step", "[log][cursor]")
+{
+    Backoff left({milliseconds(100'000), milliseconds(100'000)}, 0);
+    Backoff right({milliseconds(100'000), milliseconds(100'000)}, 0);
+    std::vector<milliseconds> delays[2];
+    for (auto i = 0; i < 8; ++i) {
+        delays[0].push_back(left.next());
+        delays[1].push_back(right.next());
+    }
+    CHECK(delays[0] != delays[1]);
+}
+
 SCENARIO("a follower delivers records through outages, malformed records and lost offsets", "[log][follower]")
 {
     asio::io_context context;
