Add integration scenarios with real processes behind the fault proxy

Each scenario runs against a fleet of its own, which scripts/fleet.sh starts with a route of the fault proxy for each pair of entries and for each entry to the platform. Processes that a scenario ends are started again by the script.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,6 +4,9 @@
 #   scripts/fleet.sh start DIR DEPLOYMENT [entries workers executors]   per availability zone; default 2 2 1
 #   scripts/fleet.sh stop DIR
 #
+# With MARJORAMFOLD_PROXIED=1 a fault proxy stands between the entries, and between each entry and the platform: routes
+# peer-I-J (UDP and TCP from entry I to entry J) and platform-I. DIR/proxy holds the address of its control interface.
+#
 # DIR receives settings, logs, NAME.pid for each process, and `entries` with one HOST:PORT a line. A process that dies is
 # started again, unless DIR/down-NAME exists: so that a test can replace a process by ending it.
 set -euo pipefail
@@ -52,6 +55,35 @@
     return 1
 }
 
+# The address of a route of the fault proxy, or the direct address when there is no proxy.
+route_of() {
+    local address
+    address=$(awk -v name="$2" '$1 == name { print $2 }' "$1/routes" 2>/dev/null || true)
+    echo "${address:-$3}"
+}
+
+# Starts a fault proxy with a route for each pair of entries, and for each entry to the platform.
+start_proxy() {
+    local dir=$1 subnet=$2 platform=$3 i j ports next=1 routes=()
+    local count=${#entry_ips[@]}
+    mapfile -t ports < <(free_ports "$subnet.5" $((1 + count * count)))
+    for i in "${!entry_ips[@]}"; do
+        for j in "${!entry_ips[@]}"; do
+            if [ "$i" = "$j" ]; then
+                routes+=("platform-$i=tcp:${ports[$next]}:${platform%:*}:${platform#*:}")
+                echo "platform-$i $subnet.5:${ports[$next]}" >>"$dir/routes"
+            else
+                routes+=("peer-$i-$j=both:${ports[$next]}:${entry_ips[$j]}:${peer_ports[$j]}")
+                echo "peer-$i-$j $subnet.5:${ports[$next]}" >>"$dir/routes"
+            fi
+            next=$((next + 1))
+        done
+    done
+    echo "$subnet.5:${ports[0]}" >"$dir/proxy"
+    supervise "$dir" proxy "$bin/standin-faultproxy" --address "$subnet.5" --port "${ports[0]}" --routes "$(IFS=,; echo "${routes[*]}")"
+    wait_for_http "$subnet.5:${ports[0]}" /v1/routes
+}
+
 write_settings() {
     local dir=$1 index=$2 zone=$3 platform=$4 i
     {
@@ -64,8 +96,8 @@
         echo "http_port = ${http_ports[$index]}"
         echo "peer_port = ${peer_ports[$index]}"
         echo "[platform]"
-        echo "log = \"$platform\""
-        echo "instance_list = \"$platform\""
+        echo "log = \"$(route_of "$dir" "platform-$index" "$platform")\""
+        echo "instance_list = \"$(route_of "$dir" "platform-$index" "$platform")\""
         echo "[peers]"
         echo "signing_key = 1"
         for i in "${!entry_ips[@]}"; do
@@ -73,7 +105,7 @@
             echo "[[peer]]"
             echo "id = \"entry-$i\""
             echo "availability_zone = \"${entry_zones[$i]}\""
-            echo "address = \"${entry_ips[$i]}:${peer_ports[$i]}\""
+            echo "address = \"$(route_of "$dir" "peer-$index-$i" "${entry_ips[$i]}:${peer_ports[$i]}")\""
         done
         echo "[[key]]"
         echo "id = 1"
@@ -108,6 +140,7 @@
     # shellcheck disable=SC2086
     supervise "$dir" platform "$bin/standin-platform" --address "$subnet.2" --port "$platform_port" ${MARJORAMFOLD_PLATFORM_FLAGS:-}
     wait_for_http "$platform" /v1/instances
+    [ -z "${MARJORAMFOLD_PROXIED:-}" ] || start_proxy "$dir" "$subnet" "$platform"
     local number=0 port
     for zone in "${zones[@]}"; do
         for i in $(seq "$workers"); do
@@ -172,5 +205,5 @@
 case "${1:-}" in
     start) start "${@:2}" ;;
     stop) stop "$2" ;;
-    *) sed -n '2,9p' "$0" >&2; exit 2 ;;
+    *) sed -n '2,12p' "$0" >&2; exit 2 ;;
 esac
--- a/standins/worker/workerserver.cpp
+++ b/standins/worker/workerserver.cpp
@@ -46,6 +46,11 @@
         handleCommands(request, std::move(respond));
     } else if (path == "/v1/inventory") {
         handleInventory(request, std::move(respond));
+    } else if (path == "/v1/tasks") {
+        // For tests, which must not fence off schedulers as an inventory query does.
+        const auto now = std::chrono::steady_clock::now();
+        state_.advance(now);
+        respond({200, {}, encodeInventory(state_.inventory(now))});
     } else if (path == "/v1/faults") {
         handleFaults(request, std::move(respond));
     } else {
--- /dev/null
+++ b/tests/integration/test_requests.cpp
@@ -0,0 +1,191 @@
+#include "fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <map>
+#include <mutex>
+#include <thread>
+
+using namespace Marjoramfold;
+using namespace std::chrono_literals;
+
+namespace
+{
+/// What the caller of a key was told last.
+enum class Told {
+    Answer,
+    NotRun,
+    MaybeRan,
+    /// The connection broke while the request was in progress.
+    Cut,
+};
+
+/// Callers that send non-idempotent requests with issued keys to all entries in turn, as behind a balancer.
+class Callers
+{
+public:
+    Callers(const Fleet &fleet, int count)
+        : fleet_(fleet)
+    {
+        for (auto i = 0; i < count; ++i) {
+            threads_.emplace_back([this, i] {
+                run(i);
+            });
+        }
+    }
+
+    ~Callers()
+    {
+        stop();
+    }
+
+    Callers(const Callers &) = delete;
+    auto operator=(const Callers &) -> Callers & = delete;
+
+    auto stop() -> void
+    {
+        stopping_ = true;
+        for (auto &thread : threads_) {
+            if (thread.joinable()) {
+                thread.join();
+            }
+        }
+    }
+
+    [[nodiscard]] auto told() -> std::map<std::string, Told>
+    {
+        const std::lock_guard lock(mutex_);
+        return told_;
+    }
+
+    [[nodiscard]] auto crossed() const -> int
+    {
+        return crossed_;
+    }
+
+private:
+    auto run(int caller) -> void
+    {
+        std::size_t next = static_cast<std::size_t>(caller);
+        for (auto i = 0; !stopping_; ++i) {
+            const auto &entry = fleet_.entries()[next++ % fleet_.entries().size()];
+            const auto issued = postJson(entry.address_, "/v1/request-keys", nullptr, 2s);
+            if (issued.status_ == 200) {
+                send(entry, issued.body_["key"].get<std::string>());
+            }
+            std::this_thread::sleep_for(5ms);
+        }
+    }
+
+    auto send(const FleetProcess &entry, const std::string &key) -> void
+    {
+        const auto body = "order of " + key;
+        const auto result =
+            sendAndWait({"POST", entry.address_, "/v1/requests", {{"X-Team", "planners"}, {"X-Idempotent", "false"}, {"Idempotency-Key", key}}, body, 10s});
+        auto told = Told::Cut;
+        if (!isOk(result)) {
+            told = errorOf(result).kind_ == ErrorKind::ConnectFailed ? Told::NotRun : Told::Cut;
+        } else {
+            const auto json = nlohmann::json::parse(valueOf(result).body_, nullptr, false);
+            if (valueOf(result).status_ == 200) {
+                told = Told::Answer;
+                crossed_ += json.value("key", std::string()) == key && json.value("bytes", std::size_t(0)) == body.size() ? 0 : 1;
+            } else {
+                told = json.is_object() && json["error"].value("ran", std::string()) == "no" ? Told::NotRun : Told::MaybeRan;
+            }
+        }
+        const std::lock_guard lock(mutex_);
+        told_[key] = told;
+    }
+
+    const Fleet &fleet_;
+    std::vector<std::thread> threads_;
+    std::atomic<bool> stopping_ = false;
+    std::atomic<int> crossed_ = 0;
+    std::mutex mutex_;
+    std::map<std::string, Told> told_;
+};
+
+/// Executions per key over all executors.
+auto executions(const Fleet &fleet) -> std::map<std::string, int>
+{
+    std::map<std::string, int> sums;
+    for (const auto &executor : fleet.executors()) {
+        const auto account = getJson(executor.address_, "/v1/account").body_;
+        for (const auto &[key, count] : account["executions"].items()) {
+            sums[key] += count.get<int>();
+        }
+    }
+    return sums;
+}
+} // namespace
+
+SCENARIO("all instances are replaced one by one with requests in flight", "[replace-all]")
+{
+    const Fleet fleet;
+    bringUp(fleet);
+    REQUIRE(submitJob(fleet.entries().front().address_, "long", "sibiu-c", 2, 90s).status_ == 200);
+    for (const auto &executor : fleet.executors()) {
+        fleet.setFaults(executor, {{"slow_ms", 100}});
+    }
+    Callers callers(fleet, 8);
+    for (const auto &entry : fleet.entries()) {
+        const auto pid = fleet.pidOf(entry.name_);
+        fleet.signal(entry.name_, SIGTERM);
+        REQUIRE(eventually(60s, [&] {
+            return fleet.pidOf(entry.name_) > 0 && fleet.pidOf(entry.name_) != pid && getJson(entry.address_, "/readyz").status_ == 200;
+        }));
+    }
+    callers.stop();
+    const auto told = callers.told();
+    auto ran = executions(fleet);
+    int answered = 0;
+    for (const auto &[key, outcome] : told) {
+        CAPTURE(key);
+        // A graceful stop cuts no request in progress.
+        CHECK(outcome != Told::Cut);
+        CHECK(ran[key] <= 1);
+        if (outcome == Told::NotRun) {
+            CHECK(ran[key] == 0);
+        }
+        if (outcome == Told::Answer) {
+            ++answered;
+            CHECK(ran[key] == 1);
+        }
+    }
+    CHECK(callers.crossed() == 0);
+    CHECK(answered > 100);
+    WARN("requests: " << told.size() << ", answered: " << answered);
+    // The job runs on under its leases while its schedulers change.
+    const auto running = runningMembers(fleet, "long");
+    REQUIRE(running.size() == 1);
+    CHECK(running.begin()->second == 2);
+    CHECK(running.begin()->first == "long/1");
+}
+
+SCENARIO("a leaving target gets no new work after a few seconds", "[leaving-target]")
+{
+    const Fleet fleet;
+    bringUp(fleet);
+    Callers callers(fleet, 4);
+    std::this_thread::sleep_for(1s);
+    const auto &leaving = fleet.executors().front();
+    fleet.setFaults(leaving, {{"leaving", true}});
+    // The promised bound is 3 s.
+    std::this_thread::sleep_for(3s);
+    const auto countOf = [&] {
+        return getJson(leaving.address_, "/v1/account").body_["total"].get<int>();
+    };
+    const auto before = countOf();
+    std::this_thread::sleep_for(3s);
+    CHECK(countOf() == before);
+    callers.stop();
+    auto ran = executions(fleet);
+    for (const auto &[key, outcome] : callers.told()) {
+        CAPTURE(key);
+        CHECK(ran[key] <= 1);
+        CHECK((outcome == Told::Answer || outcome == Told::NotRun));
+    }
+}
