Judge claims again from the newest proven epoch

A reader whose log begins between a claim and a late renewal of the owner before it took a claim that had lost its race for the epoch in force, and its claim on top of that caused a needless takeover; found in review. Each newer proven epoch now judges the later claims again.

--- a/marjoramfold/scheduling/epochtable.cpp
+++ b/marjoramfold/scheduling/epochtable.cpp
@@ -14,10 +14,8 @@
 auto EpochTable::apply(Offset offset, const ClaimRecord &record) -> bool
 {
     auto &zone = zoneOf(record.zone_);
-    if (!zone.isProven_) {
-        zone.claims_.push_back({offset, record});
-    }
-    return judge(zone, offset, record);
+    zone.claims_.push_back({offset, record});
+    return judge(zone, zone.claims_.back());
 }
 
 auto EpochTable::apply(const RenewalRecord &record) -> bool
@@ -52,7 +50,7 @@
 
 auto EpochTable::startZone(const AvailabilityZoneId &zone, Offset epoch) -> void
 {
-    zones_[zone] = {{epoch, InstanceId(), {}, false}, true, {}};
+    zones_[zone] = {{epoch, InstanceId(), {}, false}, true, epoch, {}};
 }
 
 auto EpochTable::find(const AvailabilityZoneId &zone) const -> ZoneEpoch
@@ -71,39 +69,39 @@
 }
 
 /// Puts a claim in force when it supersedes the epoch in force.
-auto EpochTable::judge(Zone &zone, Offset offset, const ClaimRecord &record) -> bool
+auto EpochTable::judge(Zone &zone, const SeenClaim &claim) -> bool
 {
     const auto isAssumed = !zone.isProven_ && zone.inForce_.epoch_ == 0;
-    if (record.supersedes_ != zone.inForce_.epoch_ && !isAssumed) {
+    if (claim.record_.supersedes_ != zone.inForce_.epoch_ && !isAssumed) {
         return false;
     }
-    zone.inForce_ = {offset, record.instance_, record.deputies_, false};
+    zone.inForce_ = {claim.offset_, claim.record_.instance_, claim.record_.deputies_, false};
     return true;
 }
 
-/// Learns that an epoch was in force when its owner wrote a record.
+/// Learns that an epoch was in force when its owner wrote a record, and judges the claims after it again from there.
 auto EpochTable::prove(Zone &zone, Offset epoch) -> bool
 {
-    if (zone.isProven_) {
-        if (epoch <= zone.inForce_.epoch_) {
-            return false;
-        }
-        zone.inForce_ = {epoch, InstanceId(), {}, false};
-        return true;
+    if (zone.isProven_ && epoch <= zone.proven_) {
+        return false;
     }
     zone.isProven_ = true;
+    zone.proven_ = epoch;
+    const auto before = std::exchange(zone.inForce_, {epoch, InstanceId(), {}, false});
     const auto claims = std::exchange(zone.claims_, {});
-    const auto before = zone.inForce_.epoch_;
-
-    // The epoch's own claim may have been read; later claims are judged again from there.
-    zone.inForce_ = {epoch, InstanceId(), {}, false};
     for (const auto &claim : claims) {
         if (claim.offset_ == epoch) {
             zone.inForce_ = {epoch, claim.record_.instance_, claim.record_.deputies_, false};
         } else if (claim.offset_ > epoch) {
-            judge(zone, claim.offset_, claim.record_);
+            zone.claims_.push_back(claim);
+            judge(zone, claim);
         }
     }
-    return zone.inForce_.epoch_ != before;
+    // The owner of an epoch whose claim was not read stays as a renewal or release told it.
+    if (before.epoch_ == zone.inForce_.epoch_) {
+        zone.inForce_ = before;
+        return false;
+    }
+    return true;
 }
 } // namespace Marjoramfold
--- a/marjoramfold/scheduling/epochtable.h
+++ b/marjoramfold/scheduling/epochtable.h
@@ -22,8 +22,8 @@
 
 /// Derives the epoch in force of each availability zone. A pure state machine: all readers of the same records agree.
 ///
-/// A reader whose log lost its beginning takes a zone's first claim as in force provisionally. A record of an earlier epoch
-/// that follows proves that this claim lost a race; the claims seen are then judged again from that epoch on.
+/// A reader whose log lost its beginning takes a zone's first claim as in force provisionally. A record that an owner wrote under
+/// an epoch proves that epoch; the claims after the newest proven epoch are judged from there on.
 class EpochTable
 {
 public:
@@ -51,14 +51,16 @@
     };
     struct Zone {
         ZoneEpoch inForce_;
-        /// The epoch is known for sure, not only assumed because the log lost its beginning.
+        /// An epoch is known for sure, not only assumed because the log lost its beginning.
         bool isProven_ = false;
-        /// Claims read while it is not proven.
+        /// The newest epoch that is known for sure.
+        Offset proven_ = 0;
+        /// Claims after the newest proven epoch, in order.
         std::vector<SeenClaim> claims_;
     };
 
     auto zoneOf(const AvailabilityZoneId &zone) -> Zone &;
-    static auto judge(Zone &zone, Offset offset, const ClaimRecord &record) -> bool;
+    static auto judge(Zone &zone, const SeenClaim &claim) -> bool;
     static auto prove(Zone &zone, Offset epoch) -> bool;
 
     bool isWhole_ = true;
