Forward within the peer channel only

Cause: the entry daemon forwards keys over the authenticated peer channel, so a second way over the public request interface is dead code.

RouterGroup::fetch takes a mark for forwarded queries, which are not forwarded again.

--- a/marjoramfold/api/requesthandlers.cpp
+++ b/marjoramfold/api/requesthandlers.cpp
@@ -188,7 +188,6 @@
         return *error;
     }
     routed.traceParent_ = findHeader(request.headers_, "traceparent").value_or("");
-    routed.forwarded_ = findHeader(request.headers_, "X-Forwarded-Instance").has_value();
     return routed;
 }
 
@@ -234,8 +233,7 @@
 {
     const auto path = pathOf(request.target_);
     auto key = std::string(path.substr(RequestsPath.size() + 1));
-    const auto forwarded = findHeader(request.headers_, "X-Forwarded-Instance").has_value();
-    routers_.fetch(threadIndex_, std::move(key), forwarded, [respond](const KeyStatus &status) {
+    routers_.fetch(threadIndex_, std::move(key), [respond](const KeyStatus &status) {
         respond(toResponse(status));
     });
 }
--- a/marjoramfold/routing/routergroup.cpp
+++ b/marjoramfold/routing/routergroup.cpp
@@ -57,7 +57,7 @@
     });
 }
 
-auto RouterGroup::fetch(std::size_t threadIndex, std::string key, bool forwarded, KeyStatusCallback callback) -> void
+auto RouterGroup::fetch(std::size_t threadIndex, std::string key, KeyStatusCallback callback, bool forwarded) -> void
 {
     const auto owner = ownerOf(key);
     auto &router = *routers_[owner];
