--- a/marjoramfold/api/requesthandlers.cpp
+++ b/marjoramfold/api/requesthandlers.cpp
@@ -233,7 +233,7 @@
 {
     const auto path = pathOf(request.target_);
     auto key = std::string(path.substr(RequestsPath.size() + 1));
-    routers_.fetch(threadIndex_, std::move(key), [respond](const KeyStatus &status) {
+    routers_.fetch(threadIndex_, std::move(key), false, [respond](const KeyStatus &status) {
         respond(toResponse(status));
     });
 }
--- a/marjoramfold/scheduling/jobrecord.h
+++ b/marjoramfold/scheduling/jobrecord.h
@@ -123,6 +123,8 @@
 
     /// Availability zone of another scheduler that gets the job as soon as it holds no worker.
     std::optional<AvailabilityZoneId> withdrawnTo_;
+    /// Largest memory use of a task that was reported.
+    std::int64_t peakMemoryMb_ = 0;
 
     int startFailures_ = 0;
     int runFailures_ = 0;
