Evict and move gangs after 60 s, and use reserved workers before a large gang is evicted

Large gangs were still displaced while small work stood elsewhere, because that work had started less than 120 s ago or stood on reserved workers.

--- a/marjoramfold/scheduling/evictionpolicy.cpp
+++ b/marjoramfold/scheduling/evictionpolicy.cpp
@@ -16,7 +16,7 @@
 constexpr double LargeFactor = 10.0;
 
 // A gang runs at least this long before it is evicted for work without a right, so that no two jobs displace each other in turn.
-constexpr std::chrono::seconds MinStay{120};
+constexpr std::chrono::seconds MinStay{60};
 
 // Run time left of a job that outran its expectation, as a part of what it ran.
 constexpr int OverrunDivisor = 4;
--- a/marjoramfold/scheduling/startdecisions.cpp
+++ b/marjoramfold/scheduling/startdecisions.cpp
@@ -75,7 +75,7 @@
         if (!mayRunIn(job, zone) || isCovered(job, zone)) {
             continue;
         }
-        auto plan = planner_.plan(job.shape(), zone, costOf, unreservedFilter(job));
+        auto plan = planner_.plan(job.shape(), zone, costOf, filterOf(job));
         if (plan && (!best || plan->cost_ < best->plan_.cost_)) {
             best = ZonePlan{zone, std::move(*plan), false};
         }
