Compact gangs on several workers and move guaranteed work for urgent jobs

Compaction skipped gangs on more than one worker, which left most gaps open; an urgent job that needs two whole workers of one rack waited 82.6 s because only guaranteed work stood there.

--- a/marjoramfold/scheduling/relocation.cpp
+++ b/marjoramfold/scheduling/relocation.cpp
@@ -15,6 +15,12 @@
 // Large jobs tried in one call; bounds the time of a decision.
 constexpr std::size_t MaxLargeJobs = 3;
 
+// Accelerators of the largest gang that is moved for compaction although it stands on several workers.
+constexpr int MaxSpreadAccelerators = 8;
+
+// Urgent jobs tried in one call when evictions alone made no room.
+constexpr std::size_t MaxUrgentJobs = 2;
+
 // Workers tried in one call when an availability zone is compacted.
 constexpr int MaxEmptied = 3;
 } // namespace
@@ -29,12 +35,31 @@
 auto Relocation::startLarge(ZoneIndex zone) -> void
 {
     for (auto *job : longestWaiting(zone)) {
-        if (startLargeJob(*job, zone)) {
+        if (startByMoves(*job, zone)) {
             return;
         }
     }
 }
 
+auto Relocation::startUrgent() -> void
+{
+    std::vector<GangIndex> urgent;
+    for (const auto &key : state_->queue_) {
+        if (key.isDeferrable_ || urgent.size() >= MaxUrgentJobs) {
+            break;
+        }
+        urgent.push_back(key.job_);
+    }
+    for (const auto index : urgent) {
+        auto &job = state_->jobs_.at(index);
+        for (ZoneIndex zone = 0; zone < state_->zones_.size() && job.queueKey_; ++zone) {
+            if (decisions_->mayRunIn(job, zone) && !decisions_->isCovered(job, zone) && state_->isWithinQuota(job)) {
+                startByMoves(job, zone);
+            }
+        }
+    }
+}
+
 auto Relocation::longestWaiting(ZoneIndex zone) const -> std::vector<JobRecord *>
 {
     std::vector<JobRecord *> jobs;
@@ -51,7 +76,7 @@
     return jobs;
 }
 
-auto Relocation::startLargeJob(JobRecord &job, ZoneIndex zone) -> bool
+auto Relocation::startByMoves(JobRecord &job, ZoneIndex zone) -> bool
 {
     const auto &evictions = decisions_->evictions();
     std::vector<GangIndex> unmovable;
@@ -207,8 +232,9 @@
     const auto &shares = state_->cluster_.worker(worker).gangs_;
     return !shares.empty() && std::all_of(shares.begin(), shares.end(), [this](const GangShare &share) {
         const auto &gang = state_->jobs_.at(share.gang_);
-        // A gang on several workers would leave gaps on the others.
-        return !gang.destination_ && gang.phase_ == GangPhase::Running && share.tasks_ == gang.spec_.gangSize_ && decisions_->evictions().mayInterrupt(gang);
+        // A wide gang on several workers would leave more gaps than it fills.
+        const auto isNarrow = share.tasks_ == gang.spec_.gangSize_ || gang.accelerators() <= MaxSpreadAccelerators;
+        return !gang.destination_ && gang.phase_ == GangPhase::Running && isNarrow && decisions_->evictions().mayInterrupt(gang);
     });
 }
 
--- a/marjoramfold/scheduling/relocation.h
+++ b/marjoramfold/scheduling/relocation.h
@@ -18,6 +18,9 @@
     /// Starts a large job in an availability zone if borrowed work there can be evicted and guaranteed work moved without loss.
     auto startLarge(ZoneIndex zone) -> void;
 
+    /// Starts urgent jobs for which evictions alone made no room, by moving guaranteed work without loss.
+    auto startUrgent() -> void;
+
     /// Empties one partly used worker of an availability zone when its gangs fit into the gaps of others.
     auto compact(ZoneIndex zone) -> void;
 
@@ -25,7 +28,7 @@
     auto moveElsewhere(JobRecord &gang) -> bool;
 
 private:
-    auto startLargeJob(JobRecord &job, ZoneIndex zone) -> bool;
+    auto startByMoves(JobRecord &job, ZoneIndex zone) -> bool;
     auto reserveDestinations(const PreemptionPlan &plan, ZoneIndex from) -> std::optional<GangIndex>;
     [[nodiscard]] auto planDestination(const JobRecord &gang, ZoneIndex from, const Placer::WorkerFilter &filter) const
         -> std::optional<StartDecisions::ZonePlan>;
--- a/marjoramfold/scheduling/scheduler.cpp
+++ b/marjoramfold/scheduling/scheduler.cpp
@@ -150,6 +150,7 @@
         guaranteePass_.retry();
         const auto zone = decisions_.reservations().update();
         relocation_.startLarge(zone);
+        relocation_.startUrgent();
         queuePass_.run();
         if (state_.options_.compaction_) {
             relocation_.compact(zone);
