--- a/marjoramfold/entry/controlplane.cpp
+++ b/marjoramfold/entry/controlplane.cpp
@@ -519,6 +519,12 @@
     metrics_.gauge({"marjoramfold_peer_received_bytes", "Bytes of datagrams received from other instances since the start.", {}})
         .at()
         .Set(static_cast<double>(peers_.datagrams().receivedBytes_));
+    metrics_.gauge({"marjoramfold_control_http_sent_bytes", "Bytes of HTTP requests of the control thread to the platform and to workers since the start.", {}})
+        .at()
+        .Set(static_cast<double>(http_.bytes().sent_));
+    metrics_.gauge({"marjoramfold_control_http_received_bytes", "Bytes of HTTP answers to the control thread since the start.", {}})
+        .at()
+        .Set(static_cast<double>(http_.bytes().received_));
     if (!rules) {
         return;
     }
--- a/marjoramfold/entry/controlviews.cpp
+++ b/marjoramfold/entry/controlviews.cpp
@@ -91,7 +91,7 @@
     if (const auto explanation = runtime->explain(job)) {
         json["state"] = toString(explanation->state_);
         json["reason"] = explanation->reason_;
-        json["needed_change"] = explanation->neededChange_;
+        json["needed_change"] = explanation->neededChange_.empty() ? neededChange(*status, *explanation, *runtime) : explanation->neededChange_;
         auto lines = nlohmann::json::array();
         for (const auto &line : explanation->rules_) {
             lines.push_back(ruleJson(line));
@@ -101,6 +101,32 @@
     return json;
 }
 
+auto ControlViews::neededChange(const JobStatus &status, const JobExplanation &explanation, const ZoneRuntime &runtime) const -> std::string
+{
+    if (explanation.state_ == JobState::Parked) {
+        return "a change of the rules named here, or a smaller job";
+    }
+    if (explanation.state_ != JobState::Waiting) {
+        return {};
+    }
+    if (!control_.gate_.open_) {
+        return "the rules must be confirmed current, by the platform's log or by another availability zone";
+    }
+    const auto rules = control_.rules_.inForce();
+    const auto rule = rules->zones_.find(status.zone_);
+    if (rule != rules->zones_.end() && rule->second.state_ == AvailabilityZoneState::Out) {
+        return "availability zone " + status.zone_.value() + " must be taken in again, or another allowed one must have room";
+    }
+    const auto wanted = status.spec_.gangSize_ * status.spec_.task_.accelerators_;
+    const auto free = runtime.summarize().freeAccelerators_;
+    if (free < wanted) {
+        return std::to_string(wanted) + " accelerators must be free in " + status.zone_.value() + ", where " + std::to_string(free)
+            + " are, or in another zone";
+    }
+    return "jobs ahead of it must start, or free accelerators must come together as " + std::to_string(status.spec_.gangSize_) + " x "
+        + std::to_string(status.spec_.task_.accelerators_) + " in " + status.zone_.value();
+}
+
 auto ControlViews::explainTeam(const TeamId &team) const -> Result<nlohmann::json>
 {
     const auto rules = control_.rules_.inForce();
@@ -127,7 +153,7 @@
             json["guarantees"].push_back({{"availability_zone", zone.value()},
                                           {"accelerators", rule.accelerators_},
                                           {"per_worker", rule.perWorker_},
-                                          {"used", uses[zone].accelerators_},
+                                          {"used", uses.contains(zone) ? uses.at(zone).accelerators_ : 0},
                                           {"rule", ruleJson(rule.line_)}});
         }
     }
--- a/marjoramfold/entry/controlviews.h
+++ b/marjoramfold/entry/controlviews.h
@@ -25,6 +25,8 @@
     [[nodiscard]] auto ready() const -> Result<nlohmann::json>;
 
 private:
+    /// What would have to change for a waiting job to run, when the scheduler names nothing more precise.
+    [[nodiscard]] auto neededChange(const JobStatus &status, const JobExplanation &explanation, const ZoneRuntime &runtime) const -> std::string;
     [[nodiscard]] auto zoneStatus(const AvailabilityZoneRule &rule) const -> nlohmann::json;
 
     const ControlPlane &control_;
--- a/marjoramfold/http/httpclient.cpp
+++ b/marjoramfold/http/httpclient.cpp
@@ -98,6 +98,11 @@
         return transfers_.size() + waiting_;
     }
 
+    [[nodiscard]] auto bytes() const -> const HttpClientBytes &
+    {
+        return bytes_;
+    }
+
 private:
     using SteadyClock = std::chrono::steady_clock;
 
@@ -437,8 +442,23 @@
         }
     }
 
+    auto countBytes(CURL *easy) -> void
+    {
+        long requestBytes = 0;
+        long headerBytes = 0;
+        curl_off_t uploaded = 0;
+        curl_off_t downloaded = 0;
+        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+        curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &headerBytes);
+        curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+        curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
+        bytes_.sent_ += static_cast<std::uint64_t>(requestBytes) + static_cast<std::uint64_t>(uploaded);
+        bytes_.received_ += static_cast<std::uint64_t>(headerBytes) + static_cast<std::uint64_t>(downloaded);
+    }
+
     auto finish(CURL *easy, CURLcode code) -> void
     {
+        countBytes(easy);
         const auto found = transfers_.find(easy);
         assert(found != transfers_.end());
         const auto transfer = std::move(found->second);
@@ -453,6 +473,7 @@
     asio::io_context &context_;
     asio::steady_timer timer_;
     HttpClientOptions options_;
+    HttpClientBytes bytes_;
     CURLM *multi_ = nullptr;
     std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> sockets_;
     /// When libcurl wants to be woken, and when the timer goes off.
@@ -485,6 +506,11 @@
     return impl_->inFlight();
 }
 
+auto HttpClient::bytes() const -> const HttpClientBytes &
+{
+    return impl_->bytes();
+}
+
 auto sendAndWait(HttpClientRequest request) -> Result<HttpClientResponse>
 {
     asio::io_context context;
--- a/marjoramfold/http/httpclient.h
+++ b/marjoramfold/http/httpclient.h
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -44,6 +45,12 @@
     std::size_t maxBodyBytes_ = 16U << 20U;
 };
 
+/// Bytes of HTTP messages of finished requests, without the headers of TCP and IP.
+struct HttpClientBytes {
+    std::uint64_t sent_ = 0;
+    std::uint64_t received_ = 0;
+};
+
 /// Asynchronous HTTP client: libcurl's multi interface driven by the caller's io_context. Not thread-safe: use one per io_context.
 ///
 /// Errors: ConnectFailed when no connection was made, so that no byte of the request was sent; Timeout or TransportFailed
@@ -64,6 +71,9 @@
     /// Number of requests without an answer yet.
     [[nodiscard]] auto inFlight() const -> std::size_t;
 
+    /// Bytes since the start.
+    [[nodiscard]] auto bytes() const -> const HttpClientBytes &;
+
 private:
     class Impl;
     std::shared_ptr<Impl> impl_;
