Let the compaction switch cover all moves

With compaction off, large jobs still started by moves, and reserved workers took work that nothing would clear.

--- a/marjoramfold/scheduling/reservations.cpp
+++ b/marjoramfold/scheduling/reservations.cpp
@@ -26,11 +26,6 @@
     return job != nullptr && job->queueKey_ ? job : nullptr;
 }
 
-auto Reservations::workers(ZoneIndex zone) const -> const std::vector<WorkerIndex> &
-{
-    return reservations_[zone].workers_;
-}
-
 auto Reservations::mayUse(const JobRecord &job, ZoneIndex zone) const -> bool
 {
     const auto &reservation = reservations_[zone];
@@ -40,7 +35,7 @@
     if (!state_->options_.backfill_) {
         return false;
     }
-    const auto losesNothing = evictions_->canSave(job) && !job.isLarge();
+    const auto losesNothing = state_->options_.compaction_ && evictions_->canSave(job) && !job.isLarge();
     const auto endsInTime = state_->now_ + job.pessimistic_ - job.progress_ <= reservation.clearAt_;
     return losesNothing || (endsInTime && reservation.overtakers_ < state_->options_.maxOvertakers_);
 }
--- a/marjoramfold/scheduling/reservations.h
+++ b/marjoramfold/scheduling/reservations.h
@@ -32,9 +32,6 @@
     /// The job that an availability zone is kept clear for.
     [[nodiscard]] auto holder(ZoneIndex zone) const -> JobRecord *;
 
-    /// The reserved workers of an availability zone.
-    [[nodiscard]] auto workers(ZoneIndex zone) const -> const std::vector<WorkerIndex> &;
-
 private:
     struct Reservation {
         std::optional<JobId> job_;
--- a/marjoramfold/scheduling/scheduler.cpp
+++ b/marjoramfold/scheduling/scheduler.cpp
@@ -143,14 +143,19 @@
 
     auto on(const Tick & /*event*/) -> void
     {
+        if (state_.zones_.empty()) {
+            return;
+        }
         lifecycle_.onTick();
         lifecycle_.leases().renewDue();
         quarantine_.onTick();
         evacuation_.onTick();
         guaranteePass_.retry();
         const auto zone = decisions_.reservations().update();
-        relocation_.startLarge(zone);
-        relocation_.startUrgent();
+        if (state_.options_.compaction_) {
+            relocation_.startLarge(zone);
+            relocation_.startUrgent();
+        }
         queuePass_.run();
         if (state_.options_.compaction_) {
             relocation_.compact(zone);
