Count a renewal sent to a lost worker as possibly granted

Change: the wait of such a job begins at the end of that lease. Only renewals before the loss is known count.

--- a/bench/experiment/checker.cpp
+++ b/bench/experiment/checker.cpp
@@ -257,7 +257,7 @@
     for (const auto index : waiting_) {
         auto &job = jobs_[index];
         const auto zone = coveringZone(index);
-        if (!zone || queue_.now() < job.notBefore_) {
+        if (!zone || queue_.now() < std::max(job.notBefore_, cluster_.jobs()[index].maybeRenewedUntil_)) {
             job.coveredSince_.reset();
             continue;
         }
--- a/bench/experiment/fakecluster.cpp
+++ b/bench/experiment/fakecluster.cpp
@@ -130,6 +130,9 @@
         failed.task_ = id;
         failed.worker_ = command.worker_;
         const auto lost = found != workerIndex_.end() && workers_[found->second].lost_;
+        if (lost && queue_.now() - workers_[found->second].lostAt_ <= LossDetection + MessageDelay) {
+            jobs_.maybeRenewed(id.job_, queue_.now() + command.lease_);
+        }
         answer(failed, lost ? ErrorKind::Timeout : ErrorKind::NotFound, milliseconds(0), lost ? CommandTimeout : MessageDelay);
     }
 }
@@ -440,6 +443,7 @@
 {
     auto &worker = workers_[index];
     worker.lost_ = true;
+    worker.lostAt_ = queue_.now();
     while (!worker.tasks_.empty()) {
         const auto task = worker.tasks_.back();
         if (task.state_ != FakeTaskState::Held) {
--- a/bench/experiment/fakecluster.h
+++ b/bench/experiment/fakecluster.h
@@ -20,6 +20,7 @@
     Resources free_;
     std::vector<FakeTask> tasks_;
     bool lost_ = false;
+    SteadyTime lostAt_;
     bool failing_ = false;
     /// When the next lapse of a lease is looked for.
     SteadyTime leaseCheck_ = SteadyTime::max();
--- a/bench/experiment/fakejobs.cpp
+++ b/bench/experiment/fakejobs.cpp
@@ -96,6 +96,13 @@
     jobs_[task.job_].attempts_.erase(task.id_.attempt_);
 }
 
+auto FakeJobs::maybeRenewed(const JobId &job, SteadyTime until) -> void
+{
+    if (const auto index = indexOf(job)) {
+        jobs_[*index].maybeRenewedUntil_ = until;
+    }
+}
+
 auto FakeJobs::save(const FakeTask &task, std::chrono::milliseconds progress) -> void
 {
     auto &attempt = attemptOf(task);
--- a/bench/experiment/fakejobs.h
+++ b/bench/experiment/fakejobs.h
@@ -74,6 +74,9 @@
     /// Attempts that ended with a failed or lost member, and the time of the last one.
     int failures_ = 0;
     SteadyTime lastFailure_;
+    /// End of a lease that was renewed at a worker that was lost already, before that was known: the renewal may have been
+    /// granted for all that a policy knows.
+    SteadyTime maybeRenewedUntil_ = SteadyTime::min();
 };
 
 /// What an observer of the fakes is told. States are those after the change.
@@ -127,6 +130,8 @@
     auto failed(const FakeTask &task, SteadyTime now) -> void;
     /// A task left its worker; closes its attempt with the last.
     auto gone(const FakeTask &task) -> void;
+    /// A renewal went to a worker whose loss was not known yet.
+    auto maybeRenewed(const JobId &job, SteadyTime until) -> void;
     /// A member wrote a checkpoint.
     auto save(const FakeTask &task, std::chrono::milliseconds progress) -> void;
     /// A member that computes stops to do so, or goes on at another speed.
