--- a/marjoramfold/api/erroranswer.cpp
+++ b/marjoramfold/api/erroranswer.cpp
@@ -26,6 +26,8 @@
         response.headers_.push_back({"Retry-After", std::to_string(seconds)});
     }
     response.body_ = errorJson(error);
+    // The next request on the connection of a draining instance would race with its end.
+    response.closeConnection_ = error.kind_ == ErrorKind::Draining;
     return response;
 }
 } // namespace Marjoramfold
--- a/marjoramfold/entry/entryinstance.cpp
+++ b/marjoramfold/entry/entryinstance.cpp
@@ -78,6 +78,8 @@
     }
     LOG(INFO) << "drain_finished instance=" << settings_.id_.value() << " complete=" << complete;
     control_.leave();
+    // A connection that is accepted from here on could not be answered any more.
+    traffic_.stopAccepting();
     drainTimer_.expires_after(FlushTime);
     drainTimer_.async_wait([this](const std::error_code & /*error*/) {
         context_.stop();
--- a/marjoramfold/entry/trafficplane.cpp
+++ b/marjoramfold/entry/trafficplane.cpp
@@ -90,6 +90,15 @@
     }
 }
 
+auto TrafficPlane::stopAccepting() -> void
+{
+    for (auto &lane : lanes_) {
+        asio::post(lane->context_, [&lane = *lane] {
+            lane.server_->stopAccepting();
+        });
+    }
+}
+
 auto TrafficPlane::stop() -> void
 {
     for (auto &lane : lanes_) {
--- a/marjoramfold/entry/trafficplane.h
+++ b/marjoramfold/entry/trafficplane.h
@@ -29,6 +29,9 @@
     /// Binds the HTTP port and starts the threads. Throws std::exception when the port is taken.
     auto start() -> void;
 
+    /// Closes the listeners; connections that are open are still answered. Call it when the routers are drained.
+    auto stopAccepting() -> void;
+
     /// Ends the threads. Requests in progress must be finished, see RouterGroup::drain.
     auto stop() -> void;
 
