Start guaranteed work in a returned zone without waiting for its pace

Jobs within their team's guarantee waited up to 79 s after the return of their availability zone: the pace of eight gangs at once, meant for borrowed work, applied to them, too. Whether a job is covered no longer depends on the pace.

--- a/marjoramfold/scheduling/startdecisions.cpp
+++ b/marjoramfold/scheduling/startdecisions.cpp
@@ -20,16 +20,23 @@
 {
 }
 
+auto StartDecisions::isOpenTo(const JobRecord &job, ZoneIndex zone) const -> bool
+{
+    const auto &control = state_->zones_[zone];
+    return control.mayStart() && Admission::allowsZone(job.spec_, control.id_);
+}
+
 auto StartDecisions::mayRunIn(const JobRecord &job, ZoneIndex zone) const -> bool
 {
     const auto &control = state_->zones_[zone];
     const auto isPaced = control.returnedAt_ && control.startingGangs_ >= state_->options_.maxConcurrentMoves_;
-    return control.mayStart() && !isPaced && Admission::allowsZone(job.spec_, control.id_);
+    return isOpenTo(job, zone) && !isPaced;
 }
 
 auto StartDecisions::isCovered(const JobRecord &job, ZoneIndex zone) const -> bool
 {
-    return mayRunIn(job, zone) && state_->ledger_.covers(zone, job.spec_.team_, job.accelerators());
+    // A guarantee does not wait for the pace at which a zone that returned is filled.
+    return isOpenTo(job, zone) && state_->ledger_.covers(zone, job.spec_.team_, job.accelerators());
 }
 
 auto StartDecisions::startGuaranteed(JobRecord &job) -> bool
--- a/marjoramfold/scheduling/startdecisions.h
+++ b/marjoramfold/scheduling/startdecisions.h
@@ -21,7 +21,10 @@
 
     StartDecisions(SchedulerState &state, JobLifecycle &lifecycle);
 
-    /// Whether the job may be started in an availability zone now.
+    /// Whether the job is allowed in an availability zone, and tasks may start there.
+    [[nodiscard]] auto isOpenTo(const JobRecord &job, ZoneIndex zone) const -> bool;
+
+    /// Whether the job may be started in an availability zone now, also by the pace at which a zone that returned is filled.
     [[nodiscard]] auto mayRunIn(const JobRecord &job, ZoneIndex zone) const -> bool;
 
     /// Whether the job is within its team's guarantee in an availability zone.
