Split the control plane, zone runtime and HTTP client into smaller parts; keep payloads of parked jobs

The metrics, the control API, the encoding of task commands and the setup of a transfer have files of their own now. Two copies of the table look-up of enum names are one template in core.

--- a/marjoramfold/core/job.cpp
+++ b/marjoramfold/core/job.cpp
@@ -1,15 +1,13 @@
 #include "marjoramfold/core/job.h"
 
+#include "marjoramfold/core/namedvalues.h"
+
 #include <array>
-#include <utility>
 
 namespace Marjoramfold
 {
 namespace
 {
-template<typename Enum>
-using NamedValue = std::pair<Enum, std::string_view>;
-
 constexpr std::array AdjacencyNames{
     NamedValue<Adjacency>{Adjacency::None, "none"},
     NamedValue<Adjacency>{Adjacency::Worker, "worker"},
@@ -32,28 +30,6 @@
     NamedValue<JobState>{JobState::Failed, "failed"},
     NamedValue<JobState>{JobState::Cancelled, "cancelled"},
 };
-
-template<typename Names, typename Enum>
-auto nameOf(const Names &names, Enum value) -> std::string_view
-{
-    for (const auto &[candidate, name] : names) {
-        if (candidate == value) {
-            return name;
-        }
-    }
-    return {};
-}
-
-template<typename Enum, std::size_t Size>
-auto valueNamed(const std::array<NamedValue<Enum>, Size> &names, std::string_view wanted) -> std::optional<Enum>
-{
-    for (const auto &[value, name] : names) {
-        if (name == wanted) {
-            return value;
-        }
-    }
-    return std::nullopt;
-}
 } // namespace
 
 auto toString(Adjacency adjacency) -> std::string_view
--- a/marjoramfold/entry/controlplane.cpp
+++ b/marjoramfold/entry/controlplane.cpp
@@ -1,5 +1,6 @@
 #include "marjoramfold/entry/controlplane.h"
 
+#include "marjoramfold/entry/controlmetrics.h"
 #include "marjoramfold/entry/controlviews.h"
 #include "marjoramfold/entry/forwardcodec.h"
 #include "marjoramfold/entry/jobtrace.h"
@@ -165,99 +166,6 @@
     peers_.announceLeave(std::chrono::steady_clock::now());
 }
 
-auto ControlPlane::commands() -> ControlCommands
-{
-    ControlCommands commands;
-    commands.publishRules_ = [this](PublishCommand command, JsonCallback done) {
-        post([this, command = std::move(command), done = std::move(done)]() mutable {
-            rules_.publish(std::move(command), std::move(done));
-        });
-    };
-    commands.submitJob_ = [this](JobSpec spec, const std::string & /*traceParent*/, JsonCallback done) {
-        post([this, spec = std::move(spec), done = std::move(done)] {
-            submitJob(spec, done);
-        });
-    };
-    commands.cancelJobs_ = [this](std::vector<JobId> jobs, JsonCallback done) {
-        post([this, jobs = std::move(jobs), done = std::move(done)]() mutable {
-            std::erase_if(jobs, [this](const JobId &job) {
-                const auto *status = jobs_.ledger().find(job);
-                return status != nullptr && isFinal(status->state_);
-            });
-            jobs_.cancel(jobs, std::move(done));
-        });
-    };
-    return commands;
-}
-
-auto ControlPlane::queries() -> ControlQueries
-{
-    // Wraps a view so that it runs on the control thread.
-    const auto onControl = [this](auto view) {
-        return [this, view](JsonCallback done) {
-            post([this, view, done = std::move(done)] {
-                done(view(ControlViews(*this)));
-            });
-        };
-    };
-    const auto onControlFor = [this](auto view) {
-        return [this, view](auto subject, JsonCallback done) {
-            post([this, view, subject = std::move(subject), done = std::move(done)] {
-                done(view(ControlViews(*this), subject));
-            });
-        };
-    };
-    ControlQueries queries;
-    queries.rules_ = onControl([this](const ControlViews &) {
-        return rules_.rulesJson();
-    });
-    queries.rulesHistory_ = onControl([this](const ControlViews &) {
-        return Result<nlohmann::json>(rules_.historyJson());
-    });
-    queries.rulesInForce_ = onControlFor([](const ControlViews &views, Offset version) {
-        return views.rulesInForce(version);
-    });
-    queries.jobs_ = onControl([](const ControlViews &views) {
-        return Result<nlohmann::json>(views.jobs());
-    });
-    queries.job_ = onControlFor([](const ControlViews &views, const JobId &job) {
-        return views.job(job);
-    });
-    queries.explainJob_ = [this](JobId job, JsonCallback done) {
-        post([this, job = std::move(job), done = std::move(done)] {
-            explainJob(job, done);
-        });
-    };
-    queries.explainTeam_ = onControlFor([](const ControlViews &views, const TeamId &team) {
-        return views.explainTeam(team);
-    });
-    queries.explainZone_ = onControlFor([](const ControlViews &views, const AvailabilityZoneId &zone) {
-        return views.explainZone(zone);
-    });
-    queries.status_ = onControl([](const ControlViews &views) {
-        return Result<nlohmann::json>(views.status());
-    });
-    queries.trace_ = [this](const std::string &text, const JsonCallback &done) {
-        const auto id = parseTraceId(text);
-        if (!id) {
-            done(Error{ErrorKind::InvalidRequest, "a trace id has 32 lower-case hexadecimal digits", std::nullopt});
-            return;
-        }
-        auto spans = nlohmann::json::array();
-        for (const auto &span : tracer_.spansOf(*id)) {
-            spans.push_back(toOtlpJson(span));
-        }
-        done(nlohmann::json{{"spans", std::move(spans)}});
-    };
-    queries.ready_ = onControl([](const ControlViews &views) {
-        return views.ready();
-    });
-    queries.metrics_ = [this] {
-        return metrics_.text();
-    };
-    return queries;
-}
-
 auto ControlPlane::routerHooks() -> RouterHooks
 {
     RouterHooks hooks;
@@ -304,7 +212,10 @@
             }
         }
     }
-    updateMetrics();
+    if (now >= nextMetrics_) {
+        nextMetrics_ = now + MetricsInterval;
+        ControlMetrics(*this).update();
+    }
     checkDrained(now);
 }
 
@@ -496,48 +407,6 @@
     gate_ = decision;
 }
 
-auto ControlPlane::updateMetrics() -> void
-{
-    const auto now = std::chrono::steady_clock::now();
-    if (now < nextMetrics_) {
-        return;
-    }
-    nextMetrics_ = now + MetricsInterval;
-    const auto rules = rules_.inForce();
-    metrics_.gauge({"marjoramfold_rules_version", "Version of the rules in force, an offset of the log.", {}})
-        .at()
-        .Set(static_cast<double>(rules ? rules->version_ : Offset(0)));
-    metrics_.gauge({"marjoramfold_start_gate_open", "1 while tasks may start by the freshness of the rules.", {}}).at().Set(gate_.open_ ? 1 : 0);
-    metrics_.gauge({"marjoramfold_log_readable", "1 while reads of the platform's log are answered.", {}}).at().Set(rules_.unreachableSince() ? 0 : 1);
-    metrics_.gauge({"marjoramfold_live_peers", "Live entry instances besides this one.", {}}).at().Set(static_cast<double>(peers_.view().livePeers().size()));
-    metrics_.gauge({"marjoramfold_pending_appends", "Records that wait for the answer of the platform's log.", {}})
-        .at()
-        .Set(static_cast<double>(jobs_.pendingAppends()));
-    metrics_.gauge({"marjoramfold_peer_sent_bytes", "Bytes of datagrams sent to other instances since the start.", {}})
-        .at()
-        .Set(static_cast<double>(peers_.datagrams().sentBytes_));
-    metrics_.gauge({"marjoramfold_peer_received_bytes", "Bytes of datagrams received from other instances since the start.", {}})
-        .at()
-        .Set(static_cast<double>(peers_.datagrams().receivedBytes_));
-    metrics_.gauge({"marjoramfold_control_http_sent_bytes", "Bytes of HTTP requests of the control thread to the platform and to workers since the start.", {}})
-        .at()
-        .Set(static_cast<double>(http_.bytes().sent_));
-    metrics_.gauge({"marjoramfold_control_http_received_bytes", "Bytes of HTTP answers to the control thread since the start.", {}})
-        .at()
-        .Set(static_cast<double>(http_.bytes().received_));
-    if (!rules) {
-        return;
-    }
-    auto &owned = metrics_.gauge({"marjoramfold_availability_zone_owned", "1 while this instance schedules the availability zone.", {"availability_zone"}});
-    auto &waiting =
-        metrics_.gauge({"marjoramfold_waiting_jobs", "Jobs that wait in an availability zone that this instance schedules.", {"availability_zone"}});
-    for (const auto &[id, rule] : rules->zones_) {
-        const auto *runtime = zones_.runtimeOf(id);
-        owned.at({id.value()}).Set(runtime != nullptr && runtime->isScheduling() ? 1 : 0);
-        waiting.at({id.value()}).Set(runtime != nullptr ? runtime->summarize().waitingJobs_ : 0);
-    }
-}
-
 auto ControlPlane::localState(SteadyTime now) -> NodeState
 {
     NodeState state;
--- a/marjoramfold/entry/controlplane.h
+++ b/marjoramfold/entry/controlplane.h
@@ -58,6 +58,7 @@
     [[nodiscard]] auto routerHooks() -> RouterHooks;
 
 private:
+    friend class ControlMetrics;
     friend class ControlViews;
 
     auto scheduleTick() -> void;
@@ -71,7 +72,6 @@
     auto explainJob(const JobId &job, const JsonCallback &done) -> void;
     auto traceJob(const JobId &job, const std::string &event) -> void;
     auto updateGate(SteadyTime now) -> void;
-    auto updateMetrics() -> void;
     [[nodiscard]] auto localState(SteadyTime now) -> NodeState;
     [[nodiscard]] auto candidates() const -> std::vector<OwnershipCandidate>;
     [[nodiscard]] auto confirmedDead() const -> std::set<InstanceId>;
--- a/marjoramfold/entry/zoneruntime.cpp
+++ b/marjoramfold/entry/zoneruntime.cpp
@@ -31,25 +31,6 @@
         return TaskOutcome::LeaseLapsed;
     }
 }
-
-auto toWorkerKind(TaskCommandKind kind) -> WorkerCommandKind
-{
-    switch (kind) {
-    case TaskCommandKind::Hold:
-        return WorkerCommandKind::Hold;
-    case TaskCommandKind::Start:
-        return WorkerCommandKind::Start;
-    case TaskCommandKind::Renew:
-        return WorkerCommandKind::Renew;
-    case TaskCommandKind::Checkpoint:
-        return WorkerCommandKind::Checkpoint;
-    case TaskCommandKind::Throttle:
-        return WorkerCommandKind::Throttle;
-    case TaskCommandKind::Stop:
-        return WorkerCommandKind::Stop;
-    }
-    return WorkerCommandKind::Stop;
-}
 } // namespace
 
 ZoneRuntime::ZoneRuntime(asio::io_context &context, WorkerClient &client, AvailabilityZoneId zone, Epoch epoch, RuleSetPointer rules, ZoneRuntimeHooks hooks)
@@ -289,7 +270,7 @@
               << " uncertain_jobs=" << plan.uncertain_.size();
     stopStrays(plan.strays_);
     for (const auto &survivor : plan.survivors_) {
-        payloads_[survivor.job_.spec_.id_] = survivor.job_.spec_.payload_;
+        encoder_.setPayload(survivor.job_.spec_.id_, survivor.job_.spec_.payload_);
         decide(GangRecovered{survivor.job_.spec_, survivor.job_.age_, survivor.placements_, survivor.job_.progress_});
     }
     for (const auto &job : plan.waiting_) {
@@ -339,7 +320,7 @@
 
 auto ZoneRuntime::arrive(const KnownJob &job) -> void
 {
-    payloads_[job.spec_.id_] = job.spec_.payload_;
+    encoder_.setPayload(job.spec_.id_, job.spec_.payload_);
     decide(JobArrived{job.spec_, job.age_, job.attempt_, job.progress_});
 }
 
@@ -361,8 +342,11 @@
         } else if (const auto *probe = std::get_if<ProbeWorker>(&command)) {
             sendProbe(*probe);
         } else {
-            if (const auto *ended = std::get_if<JobEnded>(&command)) {
-                payloads_.erase(ended->job_);
+            // A parked job may start later, so its payload is kept.
+            if (const auto *ended = std::get_if<JobEnded>(&command); ended != nullptr && isFinal(ended->state_)) {
+                encoder_.forget(ended->job_);
+            } else if (const auto *moved = std::get_if<JobReassigned>(&command)) {
+                encoder_.forget(moved->job_);
             }
             hooks_.record_(command);
         }
@@ -398,7 +382,7 @@
     const auto now = std::chrono::steady_clock::now();
     WorkerCommandBatch batch{epoch_, {}};
     for (const auto &command : commands) {
-        batch.commands_.push_back(toWorkerCommand(command, now));
+        batch.commands_.push_back(encoder_.encode(command, now));
     }
     const auto traceparent = hooks_.traceparentOf_(commands.front().task_.job_);
     client_.send(addressOf(worker), batch, traceparent, [weak = weak_from_this(), worker, commands](Result<std::vector<WorkerCommandResult>> results) {
@@ -444,30 +428,6 @@
     });
 }
 
-auto ZoneRuntime::toWorkerCommand(const TaskCommand &command, SteadyTime now) -> WorkerCommand
-{
-    WorkerCommand sent;
-    sent.kind_ = toWorkerKind(command.kind_);
-    sent.task_ = command.task_;
-    sent.resources_ = command.resources_;
-    sent.lease_ = command.lease_;
-    sent.progress_ = command.progress_;
-    sent.grace_ = command.grace_;
-    if (command.kind_ == TaskCommandKind::Hold) {
-        holdSentAt_[command.task_] = now;
-    }
-    if (command.kind_ == TaskCommandKind::Start) {
-        const auto heldAt = holdSentAt_.find(command.task_);
-        if (heldAt != holdSentAt_.end()) {
-            sent.sinceHold_ = std::chrono::duration_cast<std::chrono::milliseconds>(now - heldAt->second);
-            holdSentAt_.erase(heldAt);
-        }
-        const auto payload = payloads_.find(command.task_.job_);
-        sent.payload_ = payload == payloads_.end() ? std::string() : payload->second;
-    }
-    return sent;
-}
-
 auto ZoneRuntime::handleResults(const WorkerId &worker,
                                 const std::vector<TaskCommand> &commands,
                                 Result<std::vector<WorkerCommandResult>> results,
--- a/marjoramfold/entry/zoneruntime.h
+++ b/marjoramfold/entry/zoneruntime.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marjoramfold/entry/taskcommandencoder.h"
 #include "marjoramfold/entry/workerlink.h"
 #include "marjoramfold/entry/zonetakeover.h"
 #include "marjoramfold/scheduling/scheduler.h"
@@ -7,7 +8,6 @@
 #include <map>
 #include <memory>
 #include <set>
-#include <unordered_map>
 #include <vector>
 
 namespace Marjoramfold
@@ -77,7 +77,6 @@
     auto sendBatch(const WorkerId &worker, const std::vector<TaskCommand> &commands) -> void;
     auto sendRenewals(const RenewLeases &renewals) -> void;
     auto sendProbe(const ProbeWorker &probe) -> void;
-    auto toWorkerCommand(const TaskCommand &command, SteadyTime now) -> WorkerCommand;
     auto handleResults(const WorkerId &worker, const std::vector<TaskCommand> &commands, Result<std::vector<WorkerCommandResult>> results, bool onlyFailures)
         -> void;
     auto reportResult(const TaskCommand &command, const WorkerId &worker, std::optional<Error> error, std::chrono::milliseconds progress) -> void;
@@ -99,8 +98,7 @@
     std::set<WorkerId> leaving_;
     std::vector<KnownJob> jobsAtStart_;
     UncertainJobs uncertain_;
-    std::unordered_map<JobId, std::string> payloads_;
-    std::unordered_map<TaskId, SteadyTime> holdSentAt_;
+    TaskCommandEncoder encoder_;
     /// Tasks whose end was already reported, by the version of their worker's inventory.
     std::map<WorkerId, std::set<TaskId>> reportedEnds_;
 };
--- a/marjoramfold/http/httptransfer.cpp
+++ b/marjoramfold/http/httptransfer.cpp
@@ -1,5 +1,6 @@
 #include "marjoramfold/http/httptransfer.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 #include <utility>
@@ -110,4 +111,48 @@
     const auto what = transfer.request_.method_ + " http://" + transfer.request_.address_ + transfer.request_.target_;
     return Error{failureKind(code, easy), what + ": " + curl_easy_strerror(code), std::nullopt};
 }
+
+auto addBytesOfTransfer(CURL *easy, HttpClientBytes &bytes) -> void
+{
+    long requestBytes = 0;
+    long headerBytes = 0;
+    curl_off_t uploaded = 0;
+    curl_off_t downloaded = 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+    curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &headerBytes);
+    curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+    curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
+    bytes.sent_ += static_cast<std::uint64_t>(requestBytes) + static_cast<std::uint64_t>(uploaded);
+    bytes.received_ += static_cast<std::uint64_t>(headerBytes) + static_cast<std::uint64_t>(downloaded);
+}
+
+auto prepareTransfer(CURL *easy, HttpTransfer &transfer, std::chrono::milliseconds connectTimeout) -> void
+{
+    const auto &request = transfer.request_;
+    const auto url = "http://" + request.address_ + request.target_;
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    // At least 1 ms, since 0 means no limit to libcurl.
+    const auto left =
+        std::max(std::chrono::milliseconds(1), std::chrono::ceil<std::chrono::milliseconds>(transfer.deadline_ - std::chrono::steady_clock::now()));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(connectTimeout, left).count()));
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    if (request.method_ == "POST" || !request.body_.empty()) {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body_.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body_.data());
+    } else {
+        curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    }
+    const auto isPlain = request.method_ == "GET" || request.method_ == "POST";
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, isPlain ? nullptr : request.method_.c_str());
+    // Without this, libcurl waits for "100 Continue" before it sends larger bodies.
+    transfer.headers_ = curl_slist_append(nullptr, "Expect:");
+    for (const auto &header : request.headers_) {
+        transfer.headers_ = curl_slist_append(transfer.headers_, (header.name_ + ": " + header.value_).c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers_);
+}
 } // namespace Marjoramfold
--- a/marjoramfold/http/httptransfer.h
+++ b/marjoramfold/http/httptransfer.h
@@ -35,6 +35,12 @@
 /// ends without an answer; the server may have run the first one, so the repeat is stopped here.
 auto beforeTransferSend(void *transfer, char *remoteAddress, char *localAddress, int remotePort, int localPort) -> int;
 
+/// Sets a handle up for a transfer, within the transfer's deadline.
+auto prepareTransfer(CURL *easy, HttpTransfer &transfer, std::chrono::milliseconds connectTimeout) -> void;
+
 /// The result of a transfer that libcurl has ended.
 [[nodiscard]] auto resultOfTransfer(CURL *easy, CURLcode code, HttpTransfer &transfer) -> Result<HttpClientResponse>;
+
+/// Adds the bytes that a transfer sent and received.
+auto addBytesOfTransfer(CURL *easy, HttpClientBytes &bytes) -> void;
 } // namespace Marjoramfold
--- a/marjoramfold/worker/workermessages.cpp
+++ b/marjoramfold/worker/workermessages.cpp
@@ -1,5 +1,7 @@
 #include "marjoramfold/worker/workermessages.h"
 
+#include "marjoramfold/core/namedvalues.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -12,23 +14,23 @@
 using Json = nlohmann::json;
 
 constexpr std::array CommandNames{
-    std::pair{WorkerCommandKind::Hold, std::string_view("hold")},
-    std::pair{WorkerCommandKind::Start, std::string_view("start")},
-    std::pair{WorkerCommandKind::Renew, std::string_view("renew")},
-    std::pair{WorkerCommandKind::Checkpoint, std::string_view("checkpoint")},
-    std::pair{WorkerCommandKind::Throttle, std::string_view("throttle")},
-    std::pair{WorkerCommandKind::Stop, std::string_view("stop")},
-    std::pair{WorkerCommandKind::Probe, std::string_view("probe")},
+    NamedValue<WorkerCommandKind>{WorkerCommandKind::Hold, "hold"},
+    NamedValue<WorkerCommandKind>{WorkerCommandKind::Start, "start"},
+    NamedValue<WorkerCommandKind>{WorkerCommandKind::Renew, "renew"},
+    NamedValue<WorkerCommandKind>{WorkerCommandKind::Checkpoint, "checkpoint"},
+    NamedValue<WorkerCommandKind>{WorkerCommandKind::Throttle, "throttle"},
+    NamedValue<WorkerCommandKind>{WorkerCommandKind::Stop, "stop"},
+    NamedValue<WorkerCommandKind>{WorkerCommandKind::Probe, "probe"},
 };
 
 constexpr std::array StateNames{
-    std::pair{WorkerTaskState::Held, std::string_view("held")},
-    std::pair{WorkerTaskState::Running, std::string_view("running")},
-    std::pair{WorkerTaskState::Stopping, std::string_view("stopping")},
-    std::pair{WorkerTaskState::Finished, std::string_view("finished")},
-    std::pair{WorkerTaskState::Failed, std::string_view("failed")},
-    std::pair{WorkerTaskState::Lapsed, std::string_view("lapsed")},
-    std::pair{WorkerTaskState::Stopped, std::string_view("stopped")},
+    NamedValue<WorkerTaskState>{WorkerTaskState::Held, "held"},
+    NamedValue<WorkerTaskState>{WorkerTaskState::Running, "running"},
+    NamedValue<WorkerTaskState>{WorkerTaskState::Stopping, "stopping"},
+    NamedValue<WorkerTaskState>{WorkerTaskState::Finished, "finished"},
+    NamedValue<WorkerTaskState>{WorkerTaskState::Failed, "failed"},
+    NamedValue<WorkerTaskState>{WorkerTaskState::Lapsed, "lapsed"},
+    NamedValue<WorkerTaskState>{WorkerTaskState::Stopped, "stopped"},
 };
 
 /// Thrown inside decoders for values that JSON allows and the protocol does not.
@@ -36,26 +38,14 @@
     using std::runtime_error::runtime_error;
 };
 
-template<typename Names, typename Enum>
-auto nameOf(const Names &names, Enum value) -> std::string_view
+template<typename Names>
+auto valueOfName(const Names &names, const std::string &wanted) -> typename Names::value_type::first_type
 {
-    for (const auto &[candidate, name] : names) {
-        if (candidate == value) {
-            return name;
-        }
-    }
-    return {};
-}
-
-template<typename Enum, std::size_t Size>
-auto valueNamed(const std::array<std::pair<Enum, std::string_view>, Size> &names, const std::string &wanted) -> Enum
-{
-    for (const auto &[value, name] : names) {
-        if (name == wanted) {
-            return value;
-        }
+    const auto value = valueNamed(names, wanted);
+    if (!value) {
+        throw InvalidValue("unknown name '" + wanted + "'");
     }
-    throw InvalidValue("unknown name '" + wanted + "'");
+    return *value;
 }
 
 auto taskFromJson(const Json &json) -> TaskId
@@ -113,7 +103,7 @@
 auto commandFromJson(const Json &json) -> WorkerCommand
 {
     WorkerCommand command;
-    command.kind_ = valueNamed(CommandNames, json.at("kind").get<std::string>());
+    command.kind_ = valueOfName(CommandNames, json.at("kind").get<std::string>());
     command.task_ = taskFromJson(json.at("task"));
     command.lease_ = millisecondsFrom(json, "lease_ms");
     command.sinceHold_ = millisecondsFrom(json, "since_hold_ms");
@@ -138,7 +128,7 @@
 auto resultFromJson(const Json &json) -> WorkerCommandResult
 {
     WorkerCommandResult result;
-    result.kind_ = valueNamed(CommandNames, json.at("kind").get<std::string>());
+    result.kind_ = valueOfName(CommandNames, json.at("kind").get<std::string>());
     result.task_ = taskFromJson(json.at("task"));
     result.progress_ = millisecondsFrom(json, "progress_ms");
     if (json.contains("error")) {
@@ -164,7 +154,7 @@
 {
     WorkerTask task;
     task.task_ = taskFromJson(json.at("task"));
-    task.state_ = valueNamed(StateNames, json.at("state").get<std::string>());
+    task.state_ = valueOfName(StateNames, json.at("state").get<std::string>());
     task.resources_ = resourcesFromJson(json.at("resources"));
     task.used_ = resourcesFromJson(json.at("used"));
     task.usageLag_ = millisecondsFrom(json, "usage_lag_ms");
