Count quotas over all availability zones and confirm an unchanged instance list without its body

Each zone's scheduler knew only its own work, so a team could use its whole quota in every zone; what the log shows of the other zones now counts.

An unchanged list is now confirmed by its entity tag.

Unit and contract tests of the log and the scheduler pass.

--- a/bench/experiment/baselinepolicy.cpp
+++ b/bench/experiment/baselinepolicy.cpp
@@ -173,6 +173,8 @@
 
 auto BaselinePolicy::on(const JobWithdrawn & /*event*/) -> void {}
 
+auto BaselinePolicy::on(const TeamUseElsewhere & /*event*/) -> void {}
+
 auto BaselinePolicy::on(const ProbeResult &event) -> void
 {
     if (const auto worker = placement_.indexOf(event.worker_); worker && event.healthy_) {
--- a/bench/experiment/baselinepolicy.h
+++ b/bench/experiment/baselinepolicy.h
@@ -82,8 +82,9 @@
     auto on(const TaskEnded &event) -> void;
     auto on(const UsageReported &event) -> void;
     auto on(const ProbeResult &event) -> void;
-    /// The baselines own every availability zone, so no job is withdrawn from them.
+    /// The baselines own every availability zone, so no job is withdrawn from them and nothing runs elsewhere.
     auto on(const JobWithdrawn &event) -> void;
+    auto on(const TeamUseElsewhere &event) -> void;
     auto on(const Tick &event) -> void;
 
     auto findMember(const TaskId &task, Job *&job) -> Member *;
--- a/marjoramfold/entry/zoneruntime.cpp
+++ b/marjoramfold/entry/zoneruntime.cpp
@@ -121,6 +121,13 @@
     }
 }
 
+auto ZoneRuntime::setUseElsewhere(std::map<TeamId, int> accelerators) -> void
+{
+    if (scheduling_) {
+        decide(TeamUseElsewhere{std::move(accelerators)});
+    }
+}
+
 auto ZoneRuntime::tick() -> void
 {
     const auto now = std::chrono::steady_clock::now();
--- a/marjoramfold/entry/zoneruntime.h
+++ b/marjoramfold/entry/zoneruntime.h
@@ -46,6 +46,9 @@
     /// Gives a job up for another availability zone; its reassignment is recorded once no worker runs it.
     auto moveJob(const JobId &job, const AvailabilityZoneId &to) -> void;
 
+    /// Takes what teams use in other availability zones.
+    auto setUseElsewhere(std::map<TeamId, int> accelerators) -> void;
+
     /// Looks at timeouts and waiting jobs.
     auto tick() -> void;
 
--- a/marjoramfold/entry/zonescontroller.cpp
+++ b/marjoramfold/entry/zonescontroller.cpp
@@ -387,6 +387,7 @@
         return;
     }
     nextMoves_ = now + MoveInterval;
+    updateUseElsewhere();
     for (auto &[id, zone] : zones_) {
         if (zone->runtime_ && zone->runtime_->isScheduling()) {
             moveJobsOf(*zone, now);
@@ -394,6 +395,23 @@
     }
 }
 
+auto ZonesController::updateUseElsewhere() -> void
+{
+    // By the log, so that a quota can be exceeded for the time that a start takes to be recorded and read.
+    for (auto &[id, zone] : zones_) {
+        if (!zone->runtime_) {
+            continue;
+        }
+        std::map<TeamId, int> use;
+        for (const auto &[job, status] : jobs_.ledger().jobs()) {
+            if (status.state_ == JobState::Running && status.zone_ != id) {
+                use[status.spec_.team_] += status.spec_.gangSize_ * status.spec_.task_.accelerators_;
+            }
+        }
+        zone->runtime_->setUseElsewhere(std::move(use));
+    }
+}
+
 auto ZonesController::moveJobsOf(Zone &zone, SteadyTime now) -> void
 {
     const auto id = zone.ownership_.zone();
--- a/marjoramfold/entry/zonescontroller.h
+++ b/marjoramfold/entry/zonescontroller.h
@@ -86,6 +86,7 @@
     auto handleDecision(Zone &zone, const SchedulerCommand &command) -> void;
     auto assignOrphans(SteadyTime now) -> void;
     auto moveJobs(SteadyTime now) -> void;
+    auto updateUseElsewhere() -> void;
     auto moveJobsOf(Zone &zone, SteadyTime now) -> void;
     auto giveWaitingJobs(Zone &zone) -> void;
     [[nodiscard]] auto workersOf(const AvailabilityZoneId &zone) const -> std::vector<WorkerInfo>;
--- a/marjoramfold/log/instancelist.cpp
+++ b/marjoramfold/log/instancelist.cpp
@@ -2,7 +2,9 @@
 
 #include "marjoramfold/log/jsonfields.h"
 
+#include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <utility>
 
 namespace Marjoramfold
@@ -128,17 +130,36 @@
 
 auto InstanceListClient::fetch(std::function<void(Result<InstanceList>)> done) -> void
 {
-    http_.send({"GET", address_, "/v1/instances", {}, "", timeout_}, [done = std::move(done)](const Result<HttpClientResponse> &result) {
-        if (!isOk(result)) {
-            done(errorOf(result));
-        } else if (valueOf(result).status_ != 200) {
-            done(unexpectedStatus(valueOf(result)));
-        } else {
-            done(decodeInstanceList(valueOf(result).body_));
-        }
+    HttpClientRequest request{"GET", address_, "/v1/instances", {}, "", timeout_};
+    // The list of a large fleet has hundreds of kilobytes and seldom changes.
+    if (!lastTag_.empty()) {
+        request.headers_.push_back({"If-None-Match", lastTag_});
+    }
+    http_.send(std::move(request), [this, done = std::move(done)](const Result<HttpClientResponse> &result) {
+        done(isOk(result) ? takeAnswer(valueOf(result)) : Result<InstanceList>(errorOf(result)));
     });
 }
 
+auto InstanceListClient::takeAnswer(const HttpClientResponse &response) -> Result<InstanceList>
+{
+    constexpr int StatusOk = 200;
+    constexpr int StatusNotModified = 304;
+    if (response.status_ == StatusNotModified && !lastTag_.empty()) {
+        const auto asOf = findHeader(response.headers_, "X-As-Of-Ms").value_or("");
+        last_.asOf_ = std::max(last_.asOf_, fromUnixMilliseconds(std::chrono::milliseconds(std::strtoll(asOf.c_str(), nullptr, 10))));
+        return last_;
+    }
+    if (response.status_ != StatusOk) {
+        return unexpectedStatus(response);
+    }
+    auto list = decodeInstanceList(response.body_);
+    if (isOk(list)) {
+        last_ = valueOf(list);
+        lastTag_ = findHeader(response.headers_, "ETag").value_or("");
+    }
+    return list;
+}
+
 auto InstanceListClient::announce(const Instance &instance, std::function<void(Result<Success>)> done) -> void
 {
     HttpClientRequest request{"PUT", address_, "/v1/instances/" + instance.id_, {{"Content-Type", "application/json"}}, encodeInstance(instance), timeout_};
--- a/marjoramfold/log/instancelist.h
+++ b/marjoramfold/log/instancelist.h
@@ -66,15 +66,20 @@
     /// The HTTP client must outlive this one and its pending requests.
     InstanceListClient(HttpClient &http, std::string address, std::chrono::milliseconds timeout = std::chrono::milliseconds(2'000));
 
-    /// Fetches the list. The callback runs on the client's io_context. Errors: those of HttpClient, and Malformed.
+    /// Fetches the list, or confirms the one fetched last if the platform says that it has not changed. The callback runs on the client's io_context. Errors: those of HttpClient, and Malformed.
     auto fetch(std::function<void(Result<InstanceList>)> done) -> void;
 
     /// Registers an instance, or keeps its registration alive.
     auto announce(const Instance &instance, std::function<void(Result<Success>)> done) -> void;
 
 private:
+    auto takeAnswer(const HttpClientResponse &response) -> Result<InstanceList>;
+
     HttpClient &http_;
     std::string address_;
     std::chrono::milliseconds timeout_;
+    /// The list fetched last and its entity tag; empty when the platform sends none.
+    InstanceList last_;
+    std::string lastTag_;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/scheduling/events.h
+++ b/marjoramfold/scheduling/events.h
@@ -5,6 +5,7 @@
 #include "marjoramfold/core/job.h"
 #include "marjoramfold/rules/ruleset.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -62,6 +63,11 @@
     AvailabilityZoneId to_;
 };
 
+/// Accelerators that teams use in availability zones of other schedulers; they count against the teams' quotas.
+struct TeamUseElsewhere {
+    std::map<TeamId, int> accelerators_;
+};
+
 /// Whether starts are allowed in an availability zone by the freshness of the rules.
 struct StartGateChanged {
     AvailabilityZoneId zone_;
@@ -129,6 +135,7 @@
                                     GangRecovered,
                                     JobsCancelled,
                                     JobWithdrawn,
+                                    TeamUseElsewhere,
                                     RulesChanged,
                                     StartGateChanged,
                                     TaskCommandResult,
--- a/marjoramfold/scheduling/scheduler.cpp
+++ b/marjoramfold/scheduling/scheduler.cpp
@@ -103,6 +103,11 @@
         lifecycle_.withdraw(event);
     }
 
+    auto on(const TeamUseElsewhere &event) -> void
+    {
+        state_.teamUseElsewhere_ = event.accelerators_;
+    }
+
     auto on(const RulesChanged &event) -> void
     {
         state_.rules_ = event.rules_;
--- a/marjoramfold/scheduling/schedulerstate.cpp
+++ b/marjoramfold/scheduling/schedulerstate.cpp
@@ -31,7 +31,8 @@
         return true;
     }
     const auto use = teamUse_.find(job.spec_.team_);
-    const auto used = use == teamUse_.end() ? 0 : use->second;
+    const auto elsewhere = teamUseElsewhere_.find(job.spec_.team_);
+    const auto used = (use == teamUse_.end() ? 0 : use->second) + (elsewhere == teamUseElsewhere_.end() ? 0 : elsewhere->second);
     return used + job.accelerators() <= quota->second.accelerators_;
 }
 
--- a/marjoramfold/scheduling/schedulerstate.h
+++ b/marjoramfold/scheduling/schedulerstate.h
@@ -54,6 +54,8 @@
     std::vector<WorkerIndex> freedWorkers_;
     /// Accelerators in use per team, over all availability zones.
     std::unordered_map<TeamId, int> teamUse_;
+    /// Accelerators that teams use under other schedulers.
+    std::map<TeamId, int> teamUseElsewhere_;
     /// Gangs that hold accelerators, per team, in the order in which they started.
     std::unordered_map<TeamId, std::vector<GangIndex>> teamGangs_;
     /// Running gang members per availability zone.
--- a/standins/platform/platformservice.cpp
+++ b/standins/platform/platformservice.cpp
@@ -89,7 +89,7 @@
 {
     const auto path = pathOf(request.target_);
     if (path == "/v1/instances" && request.method_ == "GET") {
-        listInstances(respond);
+        listInstances(request, respond);
     } else if (path.substr(0, 14) == "/v1/instances/") {
         putInstance(request, respond);
     } else if (path == "/v1/faults" && request.method_ == "POST") {
@@ -223,14 +223,22 @@
     }
 }
 
-auto PlatformService::listInstances(const HttpResponder &respond) -> void
+auto PlatformService::listInstances(const HttpServerRequest &request, const HttpResponder &respond) -> void
 {
     auto list = Json::array();
     for (const auto &instance : instances_.list(std::chrono::steady_clock::now())) {
         list.push_back(Json::parse(encodeInstance(instance)));
     }
     const auto asOf = toUnixMilliseconds(std::chrono::system_clock::now()) - instances_.lag();
-    respond(plain(200, {{"as_of_ms", asOf.count()}, {"instances", std::move(list)}}));
+    const auto tag = "\"" + std::to_string(std::hash<std::string>()(list.dump())) + "\"";
+    const HttpHeaders headers{{"ETag", tag}, {"X-As-Of-Ms", std::to_string(asOf.count())}};
+    if (findHeader(request.headers_, "If-None-Match") == tag) {
+        respond({304, headers, ""});
+        return;
+    }
+    auto answer = plain(200, {{"as_of_ms", asOf.count()}, {"instances", std::move(list)}});
+    answer.headers_.insert(answer.headers_.end(), headers.begin(), headers.end());
+    respond(std::move(answer));
 }
 
 auto PlatformService::putInstance(const HttpServerRequest &request, const HttpResponder &respond) -> void
--- a/standins/platform/platformservice.h
+++ b/standins/platform/platformservice.h
@@ -76,7 +76,7 @@
     auto read(const std::string &stream, const HttpServerRequest &request, const HttpResponder &respond) -> void;
     auto answerRead(const Waiter &waiter) -> void;
     auto wakeWaiters(const std::string &stream) -> void;
-    auto listInstances(const HttpResponder &respond) -> void;
+    auto listInstances(const HttpServerRequest &request, const HttpResponder &respond) -> void;
     auto putInstance(const HttpServerRequest &request, const HttpResponder &respond) -> void;
     auto setFaults(const HttpServerRequest &request, const HttpResponder &respond) -> void;
     auto isOverRate(std::size_t records) -> bool;
--- a/tests/contract/test_log.cpp
+++ b/tests/contract/test_log.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -416,3 +417,48 @@
         CHECK_FALSE(isOk(decodeInstanceList(text)));
     }
 }
+
+SCENARIO("an instance list that did not change is confirmed without being sent again", "[log][contract]")
+{
+    // At 2,900 workers the whole list, fetched once a second, would cost hundreds of kilobytes a second.
+    HttpFixture log;
+    InstanceListClient list(log.http_, log.address_);
+    log.service_.instances().setLag(milliseconds(0));
+    Instance worker{"w1", InstanceRole::Worker, AvailabilityZoneId("cluj-a"), "127.0.0.1:9", InstanceState::Live, RackId("r1"), {8, 130, 500'000}, ""};
+    const auto announce = [&] {
+        REQUIRE(isOk(await<Success>(log.context_, [&](auto done) {
+            list.announce(worker, std::move(done));
+        })));
+    };
+    const auto fetch = [&] {
+        const auto before = log.http_.bytes().received_;
+        const auto fetched = await<InstanceList>(log.context_, [&](auto done) {
+            list.fetch(std::move(done));
+        });
+        REQUIRE(isOk(fetched));
+        return std::pair(valueOf(fetched), log.http_.bytes().received_ - before);
+    };
+    for (auto i = 0; i < 20; ++i) {
+        worker.id_ = "w" + std::to_string(i);
+        announce();
+    }
+    const auto [first, firstBytes] = fetch();
+    const auto [second, secondBytes] = fetch();
+    REQUIRE(first.instances_.size() == 20);
+    CHECK(second.instances_.size() == 20);
+    CHECK(second.asOf_ >= first.asOf_);
+    CHECK(secondBytes < firstBytes / 5);
+    WHEN("an instance leaves")
+    {
+        worker.state_ = InstanceState::Leaving;
+        announce();
+        THEN("the next fetch shows it")
+        {
+            const auto changed = fetch().first;
+            REQUIRE(changed.instances_.size() == 20);
+            CHECK(std::any_of(changed.instances_.begin(), changed.instances_.end(), [](const Instance &instance) {
+                return instance.state_ == InstanceState::Leaving;
+            }));
+        }
+    }
+}
--- a/tests/unit/test_scheduler.cpp
+++ b/tests/unit/test_scheduler.cpp
@@ -126,3 +126,28 @@
     REQUIRE(first.size() > 200);
     REQUIRE(first == record());
 }
+
+SCENARIO("a quota counts what the team uses under other schedulers", "[scheduler]")
+{
+    SchedulerHarness harness;
+    harness.addWorkers("a", 4, {8, 128, 500'000});
+    auto rules = std::make_shared<RuleSet>();
+    rules->zones_[AvailabilityZoneId("a")] = {AvailabilityZoneId("a"), AvailabilityZoneState::In, 4, 6, 8, {}};
+    rules->quotas_[TeamId("team")] = {TeamId("team"), 16, {}};
+    harness.handle(RulesChanged{rules});
+    // Without this, each availability zone would grant the whole quota.
+    harness.handle(TeamUseElsewhere{{{TeamId("team"), 8}}});
+    harness.submit(makeJob("first", 1, 8));
+    harness.submit(makeJob("second", 1, 8));
+    harness.run(2s);
+    REQUIRE(harness.runningAccelerators() == 8);
+    WHEN("the other scheduler's work ends")
+    {
+        harness.handle(TeamUseElsewhere{});
+        harness.run(2s);
+        THEN("the job that waited starts")
+        {
+            REQUIRE(harness.runningAccelerators() == 16);
+        }
+    }
+}
