--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -40,10 +40,11 @@
 
 print_jobs() {
     printf '  %-14s %-10s %4s %-9s %7s %8s  %s\n' job team gang state wait_s total_s placement
+    curl -s "http://$(cat "$fleet/platform")/v1/instances" | jq '[.instances[] | select(.role == "worker") | {key: .id, value: .rack}] | from_entries' >"$fleet/racks.json"
     while read -r id; do
-        ctl --json job show "$id" | jq -r '[.job.name, .job.team, .job.gang_size, .state,
+        ctl --json job show "$id" | jq -r --slurpfile racks "$fleet/racks.json" '[.job.name, .job.team, .job.gang_size, .state,
             (((.started_ms // .submitted_ms) - .submitted_ms) / 1000), (((.ended_ms // .submitted_ms) - .submitted_ms) / 1000),
-            (.availability_zone + " " + ((.last_workers // .workers) | map(tostring) | join(",")))] | @tsv' |
+            ((.last_workers // .workers) | map($racks[0][.] + "/" + .) | join(" "))] | @tsv' |
             while IFS=$'\t' read -r name team gang state wait total placement; do
                 printf '  %-14s %-10s %4s %-9s %7.1f %8.1f  %s\n' "$name" "$team" "$gang" "$state" "$wait" "$total" "$placement"
             done
@@ -94,8 +95,9 @@
     print_jobs
     [ "$(while read -r id; do ctl --json job show "$id" | jq -r .state; done <"$fleet/jobs" | grep -vc finished)" = 0 ] || broken_promise "not every job finished"
     echo "-- requests"
-    jq -r '"  sent \(.sent // .requests // "?"), account \(.account // {} | tostring)"' "$fleet/load.json"
-    [ "$(jq '[.account.lost, .account.doubled, .account.crossed] | map(. // 0) | add' "$fleet/load.json")" = 0 ] || broken_promise "answers lost, doubled or crossed"
+    jq -r '"  sent \(.entry.sent), answered \(.entry.answered), not run \(.entry.not_run), maybe ran \(.entry.maybe_ran), p50 \(.entry.latency_ms.p50) ms, p99 \(.entry.latency_ms.p99) ms
+  lost \(.account.lost), doubled \(.account.doubled), crossed \(.account.crossed), amplification \(.account.amplification)"' "$fleet/load.json"
+    [ "$(jq '[.account.lost, .account.doubled, .account.crossed, .entry.lost, .entry.crossed] | map(. // 0) | add' "$fleet/load.json")" = 0 ] || broken_promise "answers lost, doubled or crossed"
     scripts/fleet.sh stop "$fleet"
     fleet=""
 }
