Leave the allocation operators to the sanitizers in their builds

The experiment counts a policy's memory with its own operator new and delete. Under the address sanitizer a block of the sanitizer's operator reached ours, and the test programs ended at once.

Address and undefined-behaviour sanitizers over the unit and contract tests: no report; one test fails there, since it needs the accounting that is off (memory that a policy keeps is attributed to it). It passes in the regular build.

--- a/bench/experiment/policymemory.cpp
+++ b/bench/experiment/policymemory.cpp
@@ -18,6 +18,8 @@
 thread_local Marjoramfold::PolicyMemory memory;
 } // namespace
 
+// A sanitizer brings its own operators; blocks of one must not reach the other. Memory is then reported as 0.
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
 auto operator new(std::size_t size) -> void *
 {
     auto *header = static_cast<BlockHeader *>(std::malloc(size + sizeof(BlockHeader)));
@@ -49,6 +51,7 @@
 {
     operator delete(block);
 }
+#endif
 
 namespace Marjoramfold
 {
