Share the search for borrowed room, and ask for the instances once per tick

Urgent starts and starts in exchange held the same loop over availability zones; both call startBorrowed now and differ in their eviction cost and worker filter. Every zone asked for the live and the dead instances in each tick of 50 ms, which walks all known instances; they are asked for once per tick.

--- a/marjoramfold/entry/zonescontroller.cpp
+++ b/marjoramfold/entry/zonescontroller.cpp
@@ -143,8 +143,11 @@
 
 auto ZonesController::tick(SteadyTime now) -> void
 {
+    // Asked once for all zones: both walk all known instances.
+    const auto candidates = hooks_.candidates_();
+    const auto confirmedDead = hooks_.confirmedDead_();
     for (auto &[id, zone] : zones_) {
-        stepOwnership(*zone, now);
+        stepOwnership(*zone, candidates, confirmedDead, now);
         if (zone->runtime_) {
             zone->runtime_->tick();
         }
@@ -220,13 +223,14 @@
     zones_.emplace(id, std::move(zone));
 }
 
-auto ZonesController::stepOwnership(Zone &zone, SteadyTime now) -> void
+auto ZonesController::stepOwnership(Zone &zone, const std::vector<OwnershipCandidate> &candidates, const std::set<InstanceId> &confirmedDead, SteadyTime now)
+    -> void
 {
     if (!readFrom_) {
         return;
     }
     zone.ownership_.noteLog(jobs_.confirmedAt(), jobs_.unreachableSince());
-    zone.ownership_.noteInstances(hooks_.candidates_(), hooks_.confirmedDead_(), now);
+    zone.ownership_.noteInstances(candidates, confirmedDead, now);
     for (const auto &command : zone.ownership_.step(now)) {
         carryOut(zone, command);
     }
--- a/marjoramfold/entry/zonescontroller.h
+++ b/marjoramfold/entry/zonescontroller.h
@@ -79,7 +79,7 @@
     };
 
     auto addZone(const AvailabilityZoneId &id) -> void;
-    auto stepOwnership(Zone &zone, SteadyTime now) -> void;
+    auto stepOwnership(Zone &zone, const std::vector<OwnershipCandidate> &candidates, const std::set<InstanceId> &confirmedDead, SteadyTime now) -> void;
     auto carryOut(Zone &zone, const OwnershipCommand &command) -> void;
     auto startRuntime(Zone &zone, Epoch epoch) -> void;
     auto stopRuntime(Zone &zone) -> void;
--- a/marjoramfold/scheduling/startdecisions.cpp
+++ b/marjoramfold/scheduling/startdecisions.cpp
@@ -143,24 +143,9 @@
     const auto costOf = [this](GangIndex gang) {
         return evictions_.costForRight(gang, true);
     };
-    std::optional<PreemptionPlan> best;
-    ZoneIndex bestZone = 0;
-    for (ZoneIndex zone = 0; zone < state_->zones_.size(); ++zone) {
-        // Within its guarantee a job only starts where the shapes of others stay formable.
-        if (!mayRunIn(job, zone) || isCovered(job, zone)) {
-            continue;
-        }
-        auto plan = planner_.plan(job.shape(), zone, costOf, filterOf(job));
-        if (plan && (!best || plan->cost_ < best->cost_)) {
-            best = std::move(plan);
-            bestZone = zone;
-        }
-    }
-    if (!best) {
-        return false;
-    }
-    begin(job, bestZone, best->placement_, false, best->victims_);
-    return true;
+    return startBorrowed(job, costOf, [this, &job](ZoneIndex /*zone*/) {
+        return filterOf(job);
+    });
 }
 
 auto StartDecisions::startInExchange(JobRecord &job) -> bool
@@ -175,13 +160,22 @@
         const auto goesLater = victim.phase_ == GangPhase::Stopping || lifecycle_->queue().scoreOf(victim, evictions_.timeLeft(victim)) > limit;
         return goesLater ? cost : std::nullopt;
     };
+    return startBorrowed(job, costOf, [this, &job](ZoneIndex zone) {
+        return filterFor(job, zone);
+    });
+}
+
+// Evicts for the cheapest plan in the availability zones where the job is not within its team's guarantee.
+auto StartDecisions::startBorrowed(JobRecord &job, const PreemptionPlanner::EvictionCost &costOf, const ZoneFilter &filterIn) -> bool
+{
     std::optional<PreemptionPlan> best;
     ZoneIndex bestZone = 0;
     for (ZoneIndex zone = 0; zone < state_->zones_.size(); ++zone) {
+        // Within its guarantee a job only starts where the shapes of others stay formable.
         if (!mayRunIn(job, zone) || isCovered(job, zone)) {
             continue;
         }
-        auto plan = planner_.plan(job.shape(), zone, costOf, filterFor(job, zone));
+        auto plan = planner_.plan(job.shape(), zone, costOf, filterIn(zone));
         if (plan && (!best || plan->cost_ < best->cost_)) {
             best = std::move(plan);
             bestZone = zone;
--- a/marjoramfold/scheduling/startdecisions.h
+++ b/marjoramfold/scheduling/startdecisions.h
@@ -77,6 +77,10 @@
     }
 
 private:
+    /// The workers that a job may use in an availability zone.
+    using ZoneFilter = std::function<Placer::WorkerFilter(ZoneIndex zone)>;
+
+    auto startBorrowed(JobRecord &job, const PreemptionPlanner::EvictionCost &costOf, const ZoneFilter &filterIn) -> bool;
     [[nodiscard]] auto cheapestGuaranteed(const JobRecord &job, bool usesReserved) const -> std::optional<ZonePlan>;
     [[nodiscard]] auto cheapestElsewhere(const JobRecord &job) const -> std::optional<ZonePlan>;
     [[nodiscard]] auto filterFor(const JobRecord &job, ZoneIndex zone) const -> Placer::WorkerFilter;
