--- a/marjoramfold/core/clock.cpp
+++ b/marjoramfold/core/clock.cpp
@@ -1,7 +1,16 @@
 #include "marjoramfold/core/clock.h"
 
+#include <time.h>
+
 namespace Marjoramfold
 {
+auto BootClock::now() -> time_point
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 auto systemClock() -> Clock
 {
     return {&std::chrono::steady_clock::now, &std::chrono::system_clock::now};
--- a/marjoramfold/core/clock.h
+++ b/marjoramfold/core/clock.h
@@ -11,6 +11,21 @@
 /// Time of day, for records and logs only.
 using WallTime = std::chrono::system_clock::time_point;
 
+/// Clock that also counts the time while the machine is suspended, so that a lease ends on time after a freeze.
+struct BootClock {
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true;
+
+    /// Time since the machine started.
+    [[nodiscard]] static auto now() -> time_point;
+};
+
+/// Time for leases, timeouts and ages of the scheduler and of what it believes.
+using BootTime = BootClock::time_point;
+
 /// The two clocks of a process as hooks, so that tests pass their own time.
 struct Clock {
     std::function<SteadyTime()> steadyNow_;
--- a/marjoramfold/core/error.cpp
+++ b/marjoramfold/core/error.cpp
@@ -15,6 +15,7 @@
     ErrorAnswer{ErrorKind::StaleVersion, "stale_version", 409, Ran::No, false},
     ErrorAnswer{ErrorKind::Unauthorized, "unauthorized", 401, Ran::No, false},
     ErrorAnswer{ErrorKind::NotFound, "not_found", 404, Ran::No, false},
+    ErrorAnswer{ErrorKind::JobUnknown, "job_unknown", 410, Ran::No, false},
     ErrorAnswer{ErrorKind::QuotaExceeded, "quota_exceeded", 403, Ran::No, false},
     ErrorAnswer{ErrorKind::JobCanNeverRun, "job_can_never_run", 422, Ran::No, false},
     ErrorAnswer{ErrorKind::KeyExpired, "key_expired", 400, Ran::No, false},
--- a/marjoramfold/core/error.h
+++ b/marjoramfold/core/error.h
@@ -15,6 +15,7 @@
     StaleVersion,
     Unauthorized,
     NotFound,
+    JobUnknown,
     QuotaExceeded,
     JobCanNeverRun,
     KeyExpired,
--- /dev/null
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <chrono>
+
+namespace Marjoramfold
+{
+/// Bounds that the platform sets, and times that the scheduler chooses within them.
+struct DispatchOptions {
+    /// Longest lease that a worker grants.
+    std::chrono::milliseconds longestLease_{6000};
+    /// A worker's clock may run this much slower than ours.
+    double clockDrift_ = 0.02;
+    /// Added to computed ends of leases, for rounding and the time of an answer.
+    std::chrono::milliseconds leaseMargin_{200};
+    /// A leader that lost the store goes on renewing leases for this long; its successor counts on it.
+    std::chrono::milliseconds renewWithoutStore_{8000};
+    /// Longest wait of a renewal for an end; the platform allows 2 s.
+    std::chrono::milliseconds renewWait_{2000};
+    /// Time for an answer from a worker beyond the wait; answers take 3 to 5 ms when all is well.
+    std::chrono::milliseconds orderTimeout_{600};
+    /// Pause before an unreachable worker is tried again.
+    std::chrono::milliseconds renewRetryPause_{150};
+    /// Longest time that a stop takes at a worker.
+    std::chrono::milliseconds stopTime_{900};
+    /// A run whose progress stands still for this long is taken for hung.
+    std::chrono::milliseconds stallTime_{2600};
+    /// First time that a worker is avoided after failures; it doubles each time.
+    std::chrono::milliseconds suspectTime_{5000};
+    std::chrono::milliseconds longestSuspectTime_{40000};
+    /// Failures in a row, without a success between them, that make a worker suspect.
+    unsigned failuresToSuspect_ = 2;
+    /// How many times longer a task runs away from its data or a gang across racks.
+    double farFactor_ = 3.0;
+    /// A final state stays readable for this long before its records are dropped.
+    std::chrono::seconds keepFinal_{240};
+    /// Records go out at most this often while many things change.
+    std::chrono::milliseconds passInterval_{10};
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -0,0 +1,329 @@
+#include "marjoramfold/dispatch/fleetscheduler.h"
+
+#include "marjoramfold/observability/logline.h"
+
+#include <algorithm>
+
+namespace Marjoramfold
+{
+FleetScheduler::FleetScheduler(DispatchOptions options, std::uint64_t epoch, WorkerCalls calls, SchedulerHooks hooks, std::function<void()> onDeposed)
+    : options_(options)
+    , hooks_(std::move(hooks))
+    , onDeposed_(std::move(onDeposed))
+    , alive_(std::make_shared<bool>(true))
+    , sessions_(options,
+                epoch,
+                std::move(calls),
+                {[this](const WorkerId &worker, const TaskRef &task, std::uint32_t run) {
+                     onBegan(worker, task, run);
+                 },
+                 [this](const RunEnded &end) {
+                     onEnded(end);
+                 },
+                 [this](const WorkerId &worker) {
+                     LogLine(LogSeverity::Warning, "fenced_by_worker").with("worker", worker.value());
+                     onDeposed_();
+                 },
+                 [this] {
+                     requestPass();
+                 }},
+                hooks_.schedule_)
+{
+}
+
+FleetScheduler::~FleetScheduler() = default;
+
+auto FleetScheduler::shutDown() -> void
+{
+    alive_.reset();
+    sessions_.shutDown();
+}
+
+auto FleetScheduler::counts() const -> const SchedulerCounts &
+{
+    return counts_;
+}
+
+auto FleetScheduler::jobs() const -> const std::unordered_map<JobId, std::unique_ptr<JobRecord>> &
+{
+    return jobs_;
+}
+
+auto FleetScheduler::sessions() const -> const WorkerSessions &
+{
+    return sessions_;
+}
+
+auto FleetScheduler::findJob(const JobId &id) -> JobRecord *
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+auto FleetScheduler::addJob(const Submission &submission, JobPhase phase) -> void
+{
+    auto &slot = jobs_[submission.id_];
+    if (slot) {
+        return;
+    }
+    slot = std::make_unique<JobRecord>(makeJobRecord(submission));
+    slot->phase_ = phase;
+    slot->failed_ = phase == JobPhase::Failed;
+    if (isFinalPhase(phase)) {
+        slot->finalSince_ = BootClock::now();
+        return;
+    }
+    open_[submission.id_] = slot.get();
+    requestPass();
+}
+
+auto FleetScheduler::cancelJob(const JobId &id) -> void
+{
+    auto *job = findJob(id);
+    if (job == nullptr || job->isClosed()) {
+        return;
+    }
+    job->cancelled_ = true;
+    stopRuns(*job, "the job was cancelled");
+    setPhase(*job, JobPhase::Cancelled);
+    flush();
+}
+
+auto FleetScheduler::forgetJob(const JobId &id) -> void
+{
+    open_.erase(id);
+    jobs_.erase(id);
+}
+
+auto FleetScheduler::restoreProgress(const std::string &key, const std::string &value) -> void
+{
+    const auto parsed = parseProgressKey(key);
+    auto *job = parsed ? findJob(parsed->first) : nullptr;
+    if (job == nullptr || parsed->second >= job->occurrences_.size()) {
+        LogLine(LogSeverity::Warning, "progress_without_job").with("key", key);
+        return;
+    }
+    auto &occurrence = job->occurrences_[parsed->second];
+    if (const auto decoded = decodeProgress(value, occurrence); !isOk(decoded)) {
+        LogLine(LogSeverity::Error, "progress_unreadable").job(parsed->first.value()).with("reason", errorOf(decoded).message_);
+        return;
+    }
+    const auto *queue = hooks_.directory_().queueNamed(job->submission_.queue_);
+    for (std::uint32_t step = 0; step < occurrence.steps_.size(); ++step) {
+        const auto &plan = job->submission_.plan_.steps_[step];
+        for (std::uint32_t index = 0; index < occurrence.steps_[step].tasks_.size(); ++index) {
+            auto &task = occurrence.steps_[step].tasks_[index];
+            if (!task.isActive()) {
+                continue;
+            }
+            ++occurrence.steps_[step].active_;
+            ++job->active_;
+            const TaskRef ref{parsed->first, parsed->second, step, index};
+            sessions_.adoptRun(task.worker_,
+                               {ref, task.lastRun_, task.workerBorn_, plan.task_, queue == nullptr ? 0 : queue->priority_, expectedTime(plan, 1.0)});
+        }
+    }
+}
+
+auto FleetScheduler::begin() -> void
+{
+    begun_ = true;
+    // Finish what a former leader left between a record and what follows from it.
+    std::vector<JobRecord *> jobs;
+    for (const auto &[id, job] : open_) {
+        jobs.push_back(job);
+    }
+    for (auto *job : jobs) {
+        const auto *queue = hooks_.directory_().queueNamed(job->submission_.queue_);
+        for (const auto &occurrence : job->occurrences_) {
+            for (const auto &step : occurrence.steps_) {
+                job->failed_ = job->failed_ || std::any_of(step.tasks_.begin(), step.tasks_.end(), [queue](const TaskState &task) {
+                                   return queue != nullptr && !task.done_ && task.failures_ >= queue->maxAttempts_;
+                               });
+            }
+        }
+        if (job->failed_) {
+            stopRuns(*job, "a task has used up its attempts");
+            setPhase(*job, JobPhase::Failed);
+        } else {
+            completeIfDone(*job);
+        }
+    }
+    flush();
+    requestPass();
+}
+
+auto FleetScheduler::updateWorker(const WorkerEntry &entry) -> void
+{
+    sessions_.updateEntry(entry);
+}
+
+auto FleetScheduler::removeWorker(const WorkerId &id) -> void
+{
+    sessions_.removeEntry(id);
+}
+
+auto FleetScheduler::keepOnlyWorkers(const std::unordered_map<WorkerId, bool> &listed) -> void
+{
+    sessions_.keepOnly(listed);
+}
+
+auto FleetScheduler::touch(JobRecord &job, std::uint32_t occurrence) -> void
+{
+    touched_.insert({job.submission_.id_, occurrence});
+}
+
+auto FleetScheduler::setPhase(JobRecord &job, JobPhase phase) -> void
+{
+    if (job.phase_ == phase || isFinalPhase(job.phase_)) {
+        return;
+    }
+    LogLine(LogSeverity::Info, "job_phase")
+        .job(job.submission_.id_.value())
+        .with("queue", job.submission_.queue_)
+        .with("phase", static_cast<int>(phase))
+        .with("age_ms", (hooks_.wallNow_() - job.submission_.acceptedAt_).count());
+    job.phase_ = phase;
+    pendingPhases_.emplace_back(job.submission_.id_, phase);
+    if (isFinalPhase(phase)) {
+        job.finalSince_ = BootClock::now();
+        open_.erase(job.submission_.id_);
+    }
+}
+
+auto FleetScheduler::flush() -> void
+{
+    if (recording_ || !begun_ || !alive_) {
+        return;
+    }
+    auto ends = sessions_.unrecordedEnds();
+    if (touched_.empty()) {
+        if (!pendingPhases_.empty()) {
+            hooks_.publish_(std::exchange(pendingPhases_, {}));
+        }
+        sessions_.acknowledgeEnds(ends);
+        return;
+    }
+    std::vector<KeyedRecord> records;
+    for (const auto &[id, occurrence] : touched_) {
+        if (const auto *job = findJob(id); job != nullptr) {
+            records.push_back({progressKey(id, occurrence), encodeProgress(job->occurrences_[occurrence])});
+        }
+    }
+    touched_.clear();
+    recording_ = true;
+    auto phases = std::exchange(pendingPhases_, {});
+    hooks_.record_(std::move(records),
+                   [this, alive = std::weak_ptr(alive_), starts = std::exchange(pendingStarts_, {}), ends = std::move(ends), phases = std::move(phases)](bool stored) {
+                       if (alive.expired()) {
+                           return;
+                       }
+                       recording_ = false;
+                       if (!stored) {
+                           onDeposed_();
+                           return;
+                       }
+                       if (!phases.empty()) {
+                           hooks_.publish_(phases);
+                       }
+                       onRecorded(starts, ends);
+                   });
+}
+
+auto FleetScheduler::onRecorded(const std::vector<PendingStart> &starts, const std::vector<std::pair<WorkerId, std::uint64_t>> &ends) -> void
+{
+    for (const auto &start : starts) {
+        releaseStart(start);
+    }
+    sessions_.acknowledgeEnds(ends);
+    flush();
+}
+
+auto FleetScheduler::whyNotStart(const PendingStart &start) -> std::string
+{
+    const auto *job = findJob(start.task_.job_);
+    const auto *session = sessions_.find(start.worker_);
+    if (job == nullptr || job->isClosed()) {
+        return "the job was closed";
+    }
+    if (session == nullptr || !session->listed_ || session->entry_.draining_) {
+        return "the worker is leaving";
+    }
+    if (hooks_.evacuatedZones_().contains(session->entry_.zone_.value())) {
+        return "the availability zone was taken out";
+    }
+    const auto &task = job->occurrences_[start.task_.occurrence_].steps_[start.task_.step_].tasks_[start.task_.index_];
+    if (task.lastRun_ != start.run_ || task.worker_ != start.worker_ || task.workerBorn_ != session->entry_.born_) {
+        return "the run was given up";
+    }
+    const auto &plan = job->submission_.plan_.steps_[start.task_.step_];
+    const auto &tasks = job->occurrences_[start.task_.occurrence_].steps_[start.task_.step_].tasks_;
+    const auto broken = plan.gang_ && std::any_of(tasks.begin(), tasks.end(), [&start](const TaskState &member) {
+                            return member.lastRun_ != start.run_ || !member.isActive();
+                        });
+    return broken ? "another member of the gang cannot start" : "";
+}
+
+auto FleetScheduler::releaseStart(const PendingStart &start) -> void
+{
+    if (const auto reason = whyNotStart(start); !reason.empty()) {
+        sessions_.withdraw(start.worker_, start.task_, start.run_, reason);
+        return;
+    }
+    const auto &job = *findJob(start.task_.job_);
+    const auto &task = job.occurrences_[start.task_.occurrence_].steps_[start.task_.step_].tasks_[start.task_.index_];
+    ++counts_.starts_;
+    sessions_.start(start.worker_, start.task_, start.run_, job.submission_.plan_.payload_, task.checkpoint_);
+}
+
+auto FleetScheduler::stopRuns(JobRecord &job, const std::string &reason) -> void
+{
+    LogLine(LogSeverity::Info, "job_runs_stopped").job(job.submission_.id_.value()).with("runs", job.active_).with("reason", reason);
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences_.size(); ++occurrence) {
+        auto &steps = job.occurrences_[occurrence].steps_;
+        for (std::uint32_t step = 0; step < steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < steps[step].tasks_.size(); ++index) {
+                const auto &task = steps[step].tasks_[index];
+                if (task.isActive()) {
+                    sessions_.stop(task.worker_, {job.submission_.id_, occurrence, step, index}, task.lastRun_);
+                }
+            }
+        }
+    }
+}
+
+auto FleetScheduler::requestPass() -> void
+{
+    if (passRequested_ || !begun_ || !alive_) {
+        return;
+    }
+    passRequested_ = true;
+    hooks_.schedule_(options_.passInterval_, [this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired()) {
+            passRequested_ = false;
+            pass();
+            flush();
+        }
+    });
+}
+
+auto FleetScheduler::tick() -> void
+{
+    const auto now = BootClock::now();
+    sessions_.tick(now);
+    findStalls(now);
+    requestPass();
+}
+
+auto FleetScheduler::expiredJobs() const -> std::vector<std::pair<JobId, std::uint32_t>>
+{
+    std::vector<std::pair<JobId, std::uint32_t>> expired;
+    const auto now = BootClock::now();
+    for (const auto &[id, job] : jobs_) {
+        if (job->finalSince_ != BootTime{} && job->active_ == 0 && now - job->finalSince_ > options_.keepFinal_) {
+            expired.emplace_back(id, static_cast<std::uint32_t>(job->occurrences_.size()));
+        }
+    }
+    return expired;
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "marjoramfold/core/clock.h"
+#include "marjoramfold/dispatch/dispatchoptions.h"
+#include "marjoramfold/dispatch/joborder.h"
+#include "marjoramfold/dispatch/jobstate.h"
+#include "marjoramfold/dispatch/placement.h"
+#include "marjoramfold/dispatch/workersessions.h"
+#include "marjoramfold/fleet/directory.h"
+#include "marjoramfold/store/streamstore.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// What the scheduler needs from its surroundings.
+struct SchedulerHooks {
+    /// Stores progress records, all or nothing; false when this leader was deposed.
+    std::function<void(std::vector<KeyedRecord>, std::function<void(bool)>)> record_;
+    /// Tells all instances the phases of jobs.
+    std::function<void(std::vector<std::pair<JobId, JobPhase>>)> publish_;
+    /// The configuration in force.
+    std::function<const Directory &()> directory_;
+    /// Availability zones that get no new work.
+    std::function<const std::unordered_set<std::string> &()> evacuatedZones_;
+    std::function<std::chrono::milliseconds()> wallNow_;
+    std::function<void(std::chrono::milliseconds, std::function<void()>)> schedule_;
+};
+
+/// Figures for metrics.
+struct SchedulerCounts {
+    std::uint64_t starts_ = 0;
+    std::uint64_t doneRuns_ = 0;
+    std::uint64_t failedRuns_ = 0;
+    std::uint64_t lostRuns_ = 0;
+    std::uint64_t preemptions_ = 0;
+    std::uint64_t stalls_ = 0;
+    std::uint64_t passes_ = 0;
+};
+
+/// The leader's scheduler: decides what starts where, records it, orders it, and follows it to its end.
+///
+/// A run is recorded before it is ordered, and an end before it is acknowledged, so that a successor finds every run that may
+/// exist. Only the elected leader has one; all calls come from its control thread.
+class FleetScheduler
+{
+public:
+    FleetScheduler(DispatchOptions options, std::uint64_t epoch, WorkerCalls calls, SchedulerHooks hooks, std::function<void()> onDeposed);
+    ~FleetScheduler();
+    FleetScheduler(const FleetScheduler &) = delete;
+    auto operator=(const FleetScheduler &) -> FleetScheduler & = delete;
+
+    /// Adds an accepted job; a job that is known already is left as it is.
+    auto addJob(const Submission &submission, JobPhase phase) -> void;
+
+    /// Cancels a job and stops its runs.
+    auto cancelJob(const JobId &id) -> void;
+
+    /// Forgets a job whose records were dropped.
+    auto forgetJob(const JobId &id) -> void;
+
+    /// Takes over a progress record of a former leader.
+    auto restoreProgress(const std::string &key, const std::string &value) -> void;
+
+    /// Begins to decide; jobs and progress are complete.
+    auto begin() -> void;
+
+    /// Takes over an entry of the platform's list of workers.
+    auto updateWorker(const WorkerEntry &entry) -> void;
+    auto removeWorker(const WorkerId &id) -> void;
+    auto keepOnlyWorkers(const std::unordered_map<WorkerId, bool> &listed) -> void;
+
+    /// Looks for work that can start, soon.
+    auto requestPass() -> void;
+
+    /// Timed work: leases, stalls, occurrences that fall due, old jobs.
+    auto tick() -> void;
+
+    /// Stops all activity, without a word to the workers.
+    auto shutDown() -> void;
+
+    /// Jobs whose final state need not be readable any longer.
+    [[nodiscard]] auto expiredJobs() const -> std::vector<std::pair<JobId, std::uint32_t>>;
+
+    [[nodiscard]] auto counts() const -> const SchedulerCounts &;
+    [[nodiscard]] auto jobs() const -> const std::unordered_map<JobId, std::unique_ptr<JobRecord>> &;
+    [[nodiscard]] auto sessions() const -> const WorkerSessions &;
+
+private:
+    /// A run that waits for its record before its order goes out.
+    struct PendingStart {
+        TaskRef task_;
+        std::uint32_t run_ = 0;
+        WorkerId worker_;
+    };
+
+    /// A ready step with its tasks that can start now.
+    struct ReadyStep {
+        StepRank rank_;
+        JobRecord *job_ = nullptr;
+        const QueueRule *queue_ = nullptr;
+        std::vector<std::uint32_t> tasks_;
+    };
+
+    // fleetscheduler.cpp: jobs, records, phases.
+    auto findJob(const JobId &id) -> JobRecord *;
+    auto touch(JobRecord &job, std::uint32_t occurrence) -> void;
+    auto setPhase(JobRecord &job, JobPhase phase) -> void;
+    auto flush() -> void;
+    auto onRecorded(const std::vector<PendingStart> &starts, const std::vector<std::pair<WorkerId, std::uint64_t>> &ends) -> void;
+    auto releaseStart(const PendingStart &start) -> void;
+    [[nodiscard]] auto whyNotStart(const PendingStart &start) -> std::string;
+    auto stopRuns(JobRecord &job, const std::string &reason) -> void;
+
+    // runoutcomes.cpp: what follows from what workers report.
+    auto onBegan(const WorkerId &worker, const TaskRef &task, std::uint32_t run) -> void;
+    auto onEnded(const RunEnded &end) -> void;
+    auto applyDone(JobRecord &job, const RunEnded &end) -> void;
+    auto applyFailure(JobRecord &job, const RunEnded &end) -> void;
+    auto endGang(JobRecord &job, const RunEnded &end) -> void;
+    auto noteWorkerOutcome(const RunEnded &end) -> void;
+    auto suspect(WorkerSession &session, const JobId &job, const std::string &reason) -> void;
+    auto completeIfDone(JobRecord &job) -> void;
+    auto learn(const JobRecord &job, const RunEnded &end) -> void;
+    auto findStalls(BootTime now) -> void;
+
+    // startpass.cpp: choosing what starts.
+    auto pass() -> void;
+    [[nodiscard]] auto readySteps() -> std::vector<ReadyStep>;
+    auto collectReady(JobRecord &job, const QueueRule &queue, std::vector<ReadyStep> &ready) -> void;
+    auto placeStep(Placement &placement, ReadyStep &ready, unsigned &reservations) -> void;
+    auto placeUnit(Placement &placement, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, unsigned &reservations) -> void;
+    [[nodiscard]] auto needOf(const ReadyStep &ready, const std::vector<std::uint32_t> &tasks) -> UnitNeed;
+    [[nodiscard]] auto chooseRoom(Placement &placement, const ReadyStep &ready, const UnitNeed &need, unsigned &reservations) -> std::optional<UnitPlacement>;
+    auto preempt(Placement &placement, const ReadyStep &ready, const UnitPlacement &choice) -> void;
+    auto startUnit(Placement &placement, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, const UnitPlacement &choice) -> void;
+    [[nodiscard]] auto ratioOf(const std::string &queue) const -> double;
+
+    DispatchOptions options_;
+    SchedulerHooks hooks_;
+    std::function<void()> onDeposed_;
+    std::unordered_map<JobId, std::unique_ptr<JobRecord>> jobs_;
+    /// Jobs that are not closed, in a fixed order.
+    std::map<JobId, JobRecord *> open_;
+    std::set<std::pair<JobId, std::uint32_t>> touched_;
+    std::vector<PendingStart> pendingStarts_;
+    std::vector<std::pair<JobId, JobPhase>> pendingPhases_;
+    /// Run time against estimate, learned a queue.
+    std::unordered_map<std::string, double> ratios_;
+    SchedulerCounts counts_;
+    bool begun_ = false;
+    bool passRequested_ = false;
+    bool recording_ = false;
+    std::shared_ptr<bool> alive_;
+    WorkerSessions sessions_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/dispatch/joborder.cpp
@@ -0,0 +1,56 @@
+#include "marjoramfold/dispatch/joborder.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace Marjoramfold
+{
+namespace
+{
+/// Longest chain over all steps, or over those that are not done.
+auto longestChain(const JobPlan &plan, const OccurrenceState *occurrence, double ratio) -> std::chrono::milliseconds
+{
+    std::vector<std::chrono::milliseconds> ends(plan.steps_.size(), std::chrono::milliseconds(0));
+    std::chrono::milliseconds longest{0};
+    for (std::size_t i = 0; i < plan.steps_.size(); ++i) {
+        const auto &step = plan.steps_[i];
+        std::chrono::milliseconds start{0};
+        for (const auto earlier : step.dependsOn_) {
+            start = std::max(start, ends[earlier]);
+        }
+        const auto done = occurrence != nullptr && occurrence->steps_[i].done_ == step.count_;
+        ends[i] = start + (done ? std::chrono::milliseconds(0) : expectedTime(step, ratio));
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+} // namespace
+
+auto expectedTime(const StepPlan &step, double ratio) -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(step.estimate_ * ratio);
+}
+
+auto remainingChain(const JobPlan &plan, const OccurrenceState &occurrence, double ratio) -> std::chrono::milliseconds
+{
+    return longestChain(plan, &occurrence, ratio);
+}
+
+auto rankStep(const JobRecord &job, std::uint32_t occurrence, std::uint32_t step, const QueueRule &queue, double ratio, std::chrono::milliseconds wallNow)
+    -> StepRank
+{
+    const auto &plan = job.submission_.plan_;
+    const auto begin = plan.occurrences_ == 0 ? job.submission_.acceptedAt_ : dueTime(plan, occurrence);
+    const auto allowed =
+        std::chrono::duration_cast<std::chrono::milliseconds>(longestChain(plan, nullptr, ratio) * queue.stretch_) + queue.targetLatency_;
+    const auto end = wallNow + remainingChain(plan, job.occurrences_[occurrence], ratio);
+    const auto lateEnd = begin + std::chrono::duration_cast<std::chrono::milliseconds>(allowed * LateFactor);
+    int lateness = 2;
+    if (end <= begin + allowed) {
+        lateness = 0;
+    } else if (end <= lateEnd) {
+        lateness = 1;
+    }
+    return {queue.priority_ == 0 ? 0 : 1, lateness, queue.priority_, begin + allowed, job.submission_.id_, occurrence, step};
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/dispatch/placement.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "marjoramfold/dispatch/workersession.h"
+#include "marjoramfold/fleet/jobplan.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// What a unit of work needs: a gang, or single tasks of a step.
+struct UnitNeed {
+    const StepPlan *step_ = nullptr;
+    std::string pool_;
+    std::uint32_t count_ = 1;
+    int priority_ = 0;
+    /// Workers that are no longer tried, because a task of the unit failed there.
+    std::set<WorkerId> avoid_;
+    /// Runs of the step that each worker has already; they count against the limit a worker.
+    std::unordered_map<WorkerId, std::uint32_t> placed_;
+};
+
+/// Where a unit goes.
+struct UnitPlacement {
+    /// One worker for each task; a worker may stand here more than once.
+    std::vector<WorkerSession *> workers_;
+    /// Away from the data, or a gang over several racks: it runs slower.
+    bool far_ = false;
+    /// Runs that must stop first, with their workers; empty when there is room now.
+    std::vector<std::pair<WorkerSession *, RunKey>> victims_;
+};
+
+/// Chooses workers for units, on what the sessions say at the moment.
+class Placement
+{
+public:
+    /// Prepares a look at the workers that may get new work now.
+    Placement(const std::unordered_map<WorkerId, std::unique_ptr<WorkerSession>> &sessions, const std::unordered_set<std::string> &evacuatedZones, BootTime now);
+
+    /// Room for a unit now. Gangs go as a whole; otherwise as many tasks as fit. With `near`, only places without a slowdown are taken.
+    [[nodiscard]] auto findRoom(const UnitNeed &need, bool near) -> std::optional<UnitPlacement>;
+
+    /// Room for a unit after lower priorities have been stopped: the choice that loses the least work.
+    [[nodiscard]] auto findRoomByPreemption(const UnitNeed &need, bool near) -> std::optional<UnitPlacement>;
+
+    /// Workers on which a blocked gang will find room soonest when nothing else starts there; empty when there are none.
+    [[nodiscard]] auto findReservation(const UnitNeed &need, bool near) -> std::vector<WorkerSession *>;
+
+    /// True when the pool as it is could hold the unit without a slowdown, if it were empty.
+    [[nodiscard]] auto couldBeNear(const UnitNeed &need) -> bool;
+
+    /// Accounts for what was placed or stopped since, in room that this object handed out.
+    auto take(WorkerSession &session, const Demand &demand) -> void;
+
+    /// Keeps other units of lower rank away from a worker for the rest of this pass.
+    auto reserve(WorkerSession &session) -> void;
+
+private:
+    struct Candidate {
+        WorkerSession *session_ = nullptr;
+        Demand room_;
+        bool reserved_ = false;
+    };
+
+    using Group = std::vector<Candidate *>;
+
+    /// Cost of freeing the room of a run; empty when the run must stay.
+    using CostOfRun = std::function<std::optional<double>(const WorkerRun &)>;
+
+    [[nodiscard]] auto eligible(const Candidate &candidate, const UnitNeed &need) const -> bool;
+    [[nodiscard]] auto groupsFor(const UnitNeed &need, bool near) -> std::vector<Group>;
+    [[nodiscard]] auto fill(const Group &group, const UnitNeed &need) const -> std::vector<WorkerSession *>;
+    [[nodiscard]] auto fillByFreeing(const Group &group, const UnitNeed &need, const CostOfRun &costOf) const -> std::optional<std::pair<UnitPlacement, double>>;
+
+    [[nodiscard]] auto cheapestFreeing(const UnitNeed &need, bool near, const CostOfRun &costOf) -> std::optional<UnitPlacement>;
+
+    std::vector<Candidate> candidates_;
+    std::unordered_map<const WorkerSession *, std::size_t> indexes_;
+    BootTime now_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -0,0 +1,234 @@
+#include "marjoramfold/dispatch/fleetscheduler.h"
+
+#include "marjoramfold/observability/logline.h"
+
+#include <algorithm>
+
+namespace Marjoramfold
+{
+namespace
+{
+/// Weight of a new observation in a learned ratio.
+constexpr double LearningRate = 0.1;
+/// Bounds of a learned ratio; callers' estimates are off by factors, not by orders of magnitude.
+constexpr double SmallestRatio = 0.3;
+constexpr double LargestRatio = 4.0;
+} // namespace
+
+auto FleetScheduler::onBegan(const WorkerId &worker, const TaskRef &ref, std::uint32_t run) -> void
+{
+    auto *job = findJob(ref.job_);
+    if (job == nullptr) {
+        return;
+    }
+    auto &task = job->occurrences_[ref.occurrence_].steps_[ref.step_].tasks_[ref.index_];
+    task.began_ = true;
+    LogLine(LogSeverity::Info, "run_began").job(ref.job_.value()).with("task", toString(ref)).with("run", run).with("worker", worker.value());
+    if (job->isClosed()) {
+        sessions_.stop(worker, ref, run);
+        return;
+    }
+    if (job->phase_ == JobPhase::Queued) {
+        setPhase(*job, JobPhase::Running);
+        flush();
+    }
+}
+
+auto FleetScheduler::onEnded(const RunEnded &end) -> void
+{
+    LogLine(end.kind_ == EndKind::Done ? LogSeverity::Info : LogSeverity::Warning, "run_ended")
+        .job(end.task_.job_.value())
+        .with("task", toString(end.task_))
+        .with("run", end.run_)
+        .with("worker", end.worker_.value())
+        .with("how", toString(end.kind_))
+        .with("ran_ms", end.ranFor_.count())
+        .with("reason", end.reason_);
+    noteWorkerOutcome(end);
+    auto *job = findJob(end.task_.job_);
+    if (job == nullptr) {
+        return;
+    }
+    auto &step = job->occurrences_[end.task_.occurrence_].steps_[end.task_.step_];
+    auto &task = step.tasks_[end.task_.index_];
+    if (task.lastRun_ != end.run_ || task.worker_ != end.worker_) {
+        return;
+    }
+    task.worker_ = WorkerId();
+    task.began_ = false;
+    --step.active_;
+    --job->active_;
+    touch(*job, end.task_.occurrence_);
+    const auto &plan = job->submission_.plan_.steps_[end.task_.step_];
+    if (plan.checkpoints_ && !end.checkpoint_.empty()) {
+        task.checkpoint_ = end.checkpoint_;
+    }
+    if (end.kind_ == EndKind::Done && !plan.service_) {
+        learn(*job, end);
+        applyDone(*job, end);
+    } else if (end.kind_ == EndKind::Failed && !plan.service_) {
+        applyFailure(*job, end);
+    }
+    if (plan.gang_ && end.kind_ != EndKind::Done) {
+        endGang(*job, end);
+    }
+    requestPass();
+    flush();
+}
+
+auto FleetScheduler::applyDone(JobRecord &job, const RunEnded &end) -> void
+{
+    ++counts_.doneRuns_;
+    auto &step = job.occurrences_[end.task_.occurrence_].steps_[end.task_.step_];
+    const auto &plan = job.submission_.plan_.steps_[end.task_.step_];
+    // One end of a gang stands for all of its members.
+    const auto first = plan.gang_ ? 0 : end.task_.index_;
+    const auto last = plan.gang_ ? plan.count_ - 1 : end.task_.index_;
+    for (auto index = first; index <= last; ++index) {
+        auto &task = step.tasks_[index];
+        step.done_ += task.done_ ? 0 : 1;
+        task.done_ = true;
+    }
+    completeIfDone(job);
+}
+
+auto FleetScheduler::applyFailure(JobRecord &job, const RunEnded &end) -> void
+{
+    ++counts_.failedRuns_;
+    auto &step = job.occurrences_[end.task_.occurrence_].steps_[end.task_.step_];
+    const auto &plan = job.submission_.plan_.steps_[end.task_.step_];
+    auto &task = step.tasks_[end.task_.index_];
+    if (task.done_) {
+        return;
+    }
+    task.failedOn_.insert(end.worker_);
+    ++task.failures_;
+    if (plan.gang_) {
+        // The gang has failed once, whichever members reported it.
+        for (auto &member : step.tasks_) {
+            member.failures_ = std::max(member.failures_, task.failures_);
+        }
+    }
+    const auto *queue = hooks_.directory_().queueNamed(job.submission_.queue_);
+    if (queue != nullptr && task.failures_ >= queue->maxAttempts_ && !job.isClosed()) {
+        job.failed_ = true;
+        stopRuns(job, "a task has used up its attempts");
+        setPhase(job, JobPhase::Failed);
+    }
+}
+
+auto FleetScheduler::endGang(JobRecord &job, const RunEnded &end) -> void
+{
+    auto &step = job.occurrences_[end.task_.occurrence_].steps_[end.task_.step_];
+    for (std::uint32_t index = 0; index < step.tasks_.size(); ++index) {
+        auto &member = step.tasks_[index];
+        if (member.done_) {
+            continue;
+        }
+        if (!end.checkpoint_.empty()) {
+            member.checkpoint_ = step.tasks_[end.task_.index_].checkpoint_;
+        }
+        if (member.isActive() && member.lastRun_ == end.run_) {
+            sessions_.stop(member.worker_, {end.task_.job_, end.task_.occurrence_, end.task_.step_, index}, end.run_);
+        }
+    }
+}
+
+auto FleetScheduler::completeIfDone(JobRecord &job) -> void
+{
+    for (auto &occurrence : job.occurrences_) {
+        occurrence.done_ = std::all_of(occurrence.steps_.begin(), occurrence.steps_.end(), [](const StepState &step) {
+            return step.done_ == step.tasks_.size();
+        });
+        if (!occurrence.done_) {
+            return;
+        }
+    }
+    setPhase(job, JobPhase::Completed);
+}
+
+auto FleetScheduler::learn(const JobRecord &job, const RunEnded &end) -> void
+{
+    const auto *session = sessions_.find(end.worker_);
+    const auto &plan = job.submission_.plan_.steps_[end.task_.step_];
+    const auto atData = session != nullptr && (plan.dataRack_.empty() || session->entry_.rack_.value() == plan.dataRack_);
+    if (plan.estimate_.count() <= 0 || !atData || end.ranFor_.count() <= 0 || plan.gang_) {
+        return;
+    }
+    const auto observed = static_cast<double>(end.ranFor_.count()) / static_cast<double>(plan.estimate_.count());
+    auto &ratio = ratios_.try_emplace(job.submission_.queue_, 1.0).first->second;
+    ratio += LearningRate * (std::clamp(observed, SmallestRatio, LargestRatio) - ratio);
+}
+
+auto FleetScheduler::ratioOf(const std::string &queue) const -> double
+{
+    const auto found = ratios_.find(queue);
+    return found == ratios_.end() ? 1.0 : found->second;
+}
+
+auto FleetScheduler::noteWorkerOutcome(const RunEnded &end) -> void
+{
+    auto *session = sessions_.find(end.worker_);
+    if (session == nullptr) {
+        return;
+    }
+    if (end.kind_ == EndKind::Done) {
+        session->troubledJobs_.clear();
+        session->timesSuspect_ = 0;
+    } else if (end.kind_ == EndKind::Failed) {
+        suspect(*session, end.task_.job_, "runs failed");
+    } else {
+        counts_.lostRuns_ += 1;
+        if (end.neverBegan_ && end.reason_.starts_with("busy")) {
+            suspect(*session, end.task_.job_, "starts refused");
+        }
+    }
+}
+
+auto FleetScheduler::suspect(WorkerSession &session, const JobId &job, const std::string &reason) -> void
+{
+    // One job that always fails must not make workers suspect: it takes failures of several jobs.
+    session.troubledJobs_.insert(job);
+    if (session.troubledJobs_.size() < options_.failuresToSuspect_) {
+        return;
+    }
+    const auto time = std::min(options_.longestSuspectTime_, options_.suspectTime_ * (1U << std::min(session.timesSuspect_, 8U)));
+    ++session.timesSuspect_;
+    session.suspectUntil_ = BootClock::now() + time;
+    LogLine(LogSeverity::Warning, "worker_suspect")
+        .with("worker", session.entry_.id_.value())
+        .with("reason", reason)
+        .with("jobs", session.troubledJobs_.size())
+        .with("for_ms", time.count());
+}
+
+auto FleetScheduler::findStalls(BootTime now) -> void
+{
+    std::vector<std::pair<WorkerSession *, RunKey>> stalled;
+    for (const auto &[id, session] : sessions_.all()) {
+        for (const auto &[key, run] : session->runs_) {
+            // Only a worker that answers can show that a run stands still.
+            const auto reported = session->renewedAt_ > run.progressAt_;
+            const auto advances = run.expected_.count() > 0 && run.percent_ < 100;
+            if (run.stage_ == RunStage::Running && advances && reported && now - run.progressAt_ > options_.stallTime_) {
+                stalled.emplace_back(session.get(), key);
+            }
+        }
+    }
+    for (const auto &[session, key] : stalled) {
+        ++counts_.stalls_;
+        LogLine(LogSeverity::Warning, "run_stalled")
+            .job(key.first.job_.value())
+            .with("task", toString(key.first))
+            .with("run", key.second)
+            .with("worker", session->entry_.id_.value())
+            .with("percent", session->runs_.at(key).percent_);
+        if (auto *job = findJob(key.first.job_); job != nullptr) {
+            job->occurrences_[key.first.occurrence_].steps_[key.first.step_].tasks_[key.first.index_].failedOn_.insert(session->entry_.id_);
+        }
+        session->troubledJobs_.insert(JobId("stalled run"));
+        suspect(*session, key.first.job_, "runs stand still");
+        sessions_.stop(session->entry_.id_, key.first, key.second);
+    }
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/dispatch/workersession.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "marjoramfold/core/clock.h"
+#include "marjoramfold/fleet/workerentry.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace Marjoramfold
+{
+/// Where a run stands at its worker, as far as the leader knows.
+enum class RunStage : std::uint8_t {
+    /// Recorded in the store; the order has not been sent.
+    Recorded,
+    /// The order was sent; no answer yet.
+    Ordered,
+    /// The order may or may not have been carried out.
+    InDoubt,
+    Running,
+    /// A stop was sent.
+    Stopping,
+};
+
+/// Name of a stage for logs.
+[[nodiscard]] auto toString(RunStage stage) -> std::string_view;
+
+/// A task and the number of its run.
+using RunKey = std::pair<TaskRef, std::uint32_t>;
+
+/// A run that takes room at a worker.
+struct WorkerRun {
+    RunStage stage_ = RunStage::Recorded;
+    Demand demand_;
+    int priority_ = 0;
+    /// Run time that is expected at this place.
+    std::chrono::milliseconds expected_{0};
+    BootTime placedAt_{};
+    /// When the worker's acceptance arrived; a list asked for earlier may lack the run.
+    BootTime acceptedAt_{};
+    BootTime progressAt_{};
+    int percent_ = 0;
+    std::string checkpoint_;
+    /// When the last stop was sent.
+    BootTime stopSentAt_{};
+};
+
+/// One life of a worker as the leader sees it: its entry, its runs, its lease and its clock.
+struct WorkerSession {
+    WorkerEntry entry_;
+    /// The platform's list has an entry for it.
+    bool listed_ = true;
+    std::map<RunKey, WorkerRun> runs_;
+    Demand used_;
+    std::uint64_t fencingToken_ = 0;
+    /// Number of the last end that was handed to the scheduler, recorded in the store, and acknowledged to the worker.
+    std::uint64_t endsSeen_ = 0;
+    std::uint64_t endsRecorded_ = 0;
+    std::uint64_t endsAcknowledged_ = 0;
+    /// Latest lease end that any order of this leader asked for, on the worker's clock.
+    std::chrono::milliseconds leaseUntil_{0};
+    /// The worker's clock was at least this when its answer arrived.
+    std::chrono::milliseconds clock_{0};
+    BootTime clockAt_{};
+    /// The worker has answered this leader.
+    bool answered_ = false;
+    BootTime sessionStart_{};
+    /// A former leader gave orders to this life of the worker.
+    bool adopted_ = false;
+    bool renewing_ = false;
+    /// Start of the last renewal that was answered.
+    BootTime renewedAt_{};
+    /// First failure of the failing calls in progress; zero when the last call was answered.
+    BootTime failingSince_{};
+    /// Jobs whose tasks failed or stood still there since the last success.
+    std::set<JobId> troubledJobs_;
+    unsigned timesSuspect_ = 0;
+    /// Gets no new work until then.
+    BootTime suspectUntil_{};
+
+    /// Room that new runs may take.
+    [[nodiscard]] auto room() const -> Demand
+    {
+        auto room = entry_.capacity_;
+        room -= used_;
+        return room;
+    }
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -0,0 +1,594 @@
+#include "marjoramfold/dispatch/workersessions.h"
+
+#include "marjoramfold/core/namedvalues.h"
+#include "marjoramfold/observability/logline.h"
+
+#include <algorithm>
+#include <cassert>
+#include <unordered_set>
+
+namespace Marjoramfold
+{
+namespace
+{
+/// Bits of a fencing token below the epoch; a leader gives fewer than this many tokens.
+constexpr unsigned TokenBits = 20;
+
+constexpr std::array StageNames{
+    NamedValue<RunStage>{RunStage::Recorded, "recorded"},
+    NamedValue<RunStage>{RunStage::Ordered, "ordered"},
+    NamedValue<RunStage>{RunStage::InDoubt, "in_doubt"},
+    NamedValue<RunStage>{RunStage::Running, "running"},
+    NamedValue<RunStage>{RunStage::Stopping, "stopping"},
+};
+
+auto milliseconds(BootTime::duration time) -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+}
+} // namespace
+
+auto toString(RunStage stage) -> std::string_view
+{
+    return nameOf(StageNames, stage);
+}
+
+WorkerSessions::WorkerSessions(DispatchOptions options, std::uint64_t epoch, WorkerCalls calls, SessionEvents events, Schedule schedule)
+    : options_(options)
+    , epoch_(epoch)
+    , calls_(std::move(calls))
+    , events_(std::move(events))
+    , schedule_(std::move(schedule))
+    , startedAt_(BootClock::now())
+    , alive_(std::make_shared<bool>(true))
+{
+}
+
+WorkerSessions::~WorkerSessions() = default;
+
+auto WorkerSessions::shutDown() -> void
+{
+    alive_.reset();
+}
+
+auto WorkerSessions::all() const -> const std::unordered_map<WorkerId, std::unique_ptr<WorkerSession>> &
+{
+    return sessions_;
+}
+
+auto WorkerSessions::find(const WorkerId &id) const -> WorkerSession *
+{
+    const auto found = sessions_.find(id);
+    return found == sessions_.end() ? nullptr : found->second.get();
+}
+
+auto WorkerSessions::sessionOf(const WorkerId &id) -> WorkerSession &
+{
+    auto &slot = sessions_[id];
+    if (!slot) {
+        slot = std::make_unique<WorkerSession>();
+        slot->entry_.id_ = id;
+        slot->listed_ = false;
+        slot->fencingToken_ = nextToken();
+        slot->sessionStart_ = BootClock::now();
+    }
+    return *slot;
+}
+
+auto WorkerSessions::nextToken() -> std::uint64_t
+{
+    ++tokensGiven_;
+    assert(tokensGiven_ < (1ULL << TokenBits));
+    return (epoch_ << TokenBits) + tokensGiven_;
+}
+
+auto WorkerSessions::updateEntry(const WorkerEntry &entry) -> void
+{
+    auto &session = sessionOf(entry.id_);
+    const auto changed = !session.listed_ || session.entry_.draining_ != entry.draining_ || session.entry_.capacity_ != entry.capacity_;
+    if (entry.born_ < session.entry_.born_) {
+        return;
+    }
+    if (session.entry_.born_ != 0 && entry.born_ > session.entry_.born_) {
+        beginLife(session, entry.born_, "the worker was started again");
+    }
+    if (entry.draining_ && !session.entry_.draining_) {
+        LogLine(LogSeverity::Info, "worker_draining").with("worker", entry.id_.value()).with("remaining_ms", entry.remaining_.count());
+    }
+    session.entry_ = entry;
+    session.listed_ = true;
+    if (!session.answered_) {
+        // The entry is older than now, so the worker's clock is at least what it says.
+        session.clock_ = entry.clock_;
+        session.clockAt_ = BootClock::now();
+    }
+    renew(session);
+    if (changed) {
+        events_.roomChanged_();
+    }
+}
+
+auto WorkerSessions::removeEntry(const WorkerId &id) -> void
+{
+    const auto found = sessions_.find(id);
+    if (found == sessions_.end()) {
+        return;
+    }
+    auto &session = *found->second;
+    if (session.listed_) {
+        LogLine(LogSeverity::Info, "worker_unlisted").with("worker", id.value()).with("runs", session.runs_.size());
+    }
+    session.listed_ = false;
+    if (session.runs_.empty()) {
+        sessions_.erase(found);
+    }
+}
+
+auto WorkerSessions::keepOnly(const std::unordered_map<WorkerId, bool> &listed) -> void
+{
+    std::vector<WorkerId> gone;
+    for (const auto &[id, session] : sessions_) {
+        if (session->listed_ && !listed.contains(id)) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto &id : gone) {
+        removeEntry(id);
+    }
+}
+
+auto WorkerSessions::adoptRun(const WorkerId &worker, const RecordedRun &run) -> void
+{
+    auto &session = sessionOf(worker);
+    WorkerRun state;
+    state.stage_ = RunStage::InDoubt;
+    state.demand_ = run.demand_;
+    state.priority_ = run.priority_;
+    state.expected_ = run.expected_;
+    state.placedAt_ = BootClock::now();
+    state.progressAt_ = state.placedAt_;
+    if (session.entry_.born_ == 0) {
+        session.entry_.born_ = run.born_;
+    }
+    session.adopted_ = true;
+    session.used_ += run.demand_;
+    session.runs_[{run.task_, run.run_}] = state;
+    if (session.entry_.born_ != run.born_) {
+        endRun(session, {run.task_, run.run_}, EndKind::Lost, {}, false, "the worker was started again");
+        return;
+    }
+    renew(session);
+}
+
+auto WorkerSessions::place(const WorkerId &worker, const TaskRef &task, std::uint32_t run, WorkerRun state) -> void
+{
+    auto &session = sessionOf(worker);
+    session.used_ += state.demand_;
+    session.runs_[{task, run}] = std::move(state);
+}
+
+auto WorkerSessions::leaseEnd(const WorkerSession &session, BootTime now) const -> std::chrono::milliseconds
+{
+    return session.clock_ + milliseconds(now - session.clockAt_) + options_.longestLease_;
+}
+
+auto WorkerSessions::noteClock(WorkerSession &session, std::chrono::milliseconds clock) -> void
+{
+    session.clock_ = clock;
+    session.clockAt_ = BootClock::now();
+    session.answered_ = true;
+    if (session.failingSince_ != BootTime{}) {
+        LogLine(LogSeverity::Info, "worker_regained").with("worker", session.entry_.id_.value());
+        session.failingSince_ = {};
+    }
+}
+
+auto WorkerSessions::start(const WorkerId &worker, const TaskRef &task, std::uint32_t run, const std::string &payload, const std::string &checkpoint) -> void
+{
+    auto *session = find(worker);
+    const RunKey key(task, run);
+    if (session == nullptr || !session->runs_.contains(key)) {
+        return;
+    }
+    auto &state = session->runs_[key];
+    assert(state.stage_ == RunStage::Recorded);
+    state.stage_ = RunStage::Ordered;
+    const auto until = leaseEnd(*session, BootClock::now());
+    session->leaseUntil_ = std::max(session->leaseUntil_, until);
+    const auto token = session->fencingToken_;
+    const auto born = session->entry_.born_;
+    calls_.start_({worker, session->entry_.address_, task, run, payload, checkpoint, token, until},
+                  [this, alive = std::weak_ptr(alive_), worker, born, key, token](const OrderAnswer &answer) {
+                      if (!alive.expired()) {
+                          onStartAnswer(worker, born, key, token, answer);
+                      }
+                  });
+}
+
+auto WorkerSessions::onStartAnswer(const WorkerId &id, std::uint64_t born, const RunKey &key, std::uint64_t token, const OrderAnswer &answer) -> void
+{
+    auto *session = find(id);
+    if (session == nullptr || session->entry_.born_ != born) {
+        return;
+    }
+    if (answer.outcome_ != OrderOutcome::Accepted) {
+        LogLine(LogSeverity::Warning, "start_not_accepted")
+            .job(key.first.job_.value())
+            .with("task", toString(key.first))
+            .with("run", key.second)
+            .with("worker", id.value())
+            .with("outcome", toString(answer.outcome_))
+            .with("reason", answer.reason_);
+    }
+    if (answer.born_ > session->entry_.born_ || answer.outcome_ == OrderOutcome::Reborn) {
+        // Another life of the worker answered. An accepted order runs there; it is found in the lists of that life.
+        beginLife(*session, answer.born_, "another life of the worker answered");
+        renew(*session);
+        return;
+    }
+    if (answer.clock_.count() > 0) {
+        noteClock(*session, answer.clock_);
+    }
+    const auto found = session->runs_.find(key);
+    if (found == session->runs_.end()) {
+        return;
+    }
+    auto &state = found->second;
+    switch (answer.outcome_) {
+    case OrderOutcome::Accepted:
+        state.acceptedAt_ = BootClock::now();
+        state.progressAt_ = state.acceptedAt_;
+        if (state.stage_ == RunStage::Ordered || state.stage_ == RunStage::InDoubt) {
+            state.stage_ = RunStage::Running;
+            events_.began_(id, key.first, key.second);
+        } else if (state.stage_ == RunStage::Stopping) {
+            sendStop(*session, key.first, key.second);
+        }
+        renew(*session);
+        break;
+    case OrderOutcome::Fenced:
+        if (token == session->fencingToken_) {
+            events_.deposed_(id);
+            break;
+        }
+        [[fallthrough]];
+    case OrderOutcome::Refused:
+    case OrderOutcome::Late:
+    case OrderOutcome::Reborn:
+        endRun(*session, key, EndKind::Lost, {}, true, answer.reason_);
+        break;
+    case OrderOutcome::Unknown:
+        if (state.stage_ == RunStage::Ordered) {
+            state.stage_ = RunStage::InDoubt;
+        }
+        doubt(*session);
+        break;
+    }
+}
+
+auto WorkerSessions::doubt(WorkerSession &session) -> void
+{
+    // A higher token voids every order that is still under way; the lists under it then show what was carried out.
+    session.fencingToken_ = nextToken();
+    session.renewing_ = false;
+    renew(session);
+}
+
+auto WorkerSessions::withdraw(const WorkerId &worker, const TaskRef &task, std::uint32_t run, const std::string &reason) -> void
+{
+    if (auto *session = find(worker); session != nullptr) {
+        endRun(*session, {task, run}, EndKind::Lost, {}, true, reason);
+    }
+}
+
+auto WorkerSessions::stop(const WorkerId &worker, const TaskRef &task, std::uint32_t run) -> void
+{
+    auto *session = find(worker);
+    if (session == nullptr) {
+        return;
+    }
+    const auto found = session->runs_.find({task, run});
+    if (found == session->runs_.end()) {
+        return;
+    }
+    auto &state = found->second;
+    if (state.stage_ == RunStage::Recorded || state.stage_ == RunStage::Stopping) {
+        // An order that was not sent is withdrawn by the scheduler when its record is confirmed.
+        return;
+    }
+    state.stage_ = RunStage::Stopping;
+    sendStop(*session, task, run);
+    renew(*session);
+}
+
+auto WorkerSessions::sendStop(WorkerSession &session, const TaskRef &task, std::uint32_t run) -> void
+{
+    if (const auto found = session.runs_.find({task, run}); found != session.runs_.end()) {
+        found->second.stopSentAt_ = BootClock::now();
+    }
+    const auto id = session.entry_.id_;
+    const auto token = session.fencingToken_;
+    calls_.stop_({id, session.entry_.address_, task, run, token}, [this, alive = std::weak_ptr(alive_), id, token, task](const OrderAnswer &answer) {
+        if (alive.expired()) {
+            return;
+        }
+        if (answer.outcome_ != OrderOutcome::Accepted) {
+            LogLine(LogSeverity::Warning, "stop_not_accepted")
+                .job(task.job_.value())
+                .with("task", toString(task))
+                .with("worker", id.value())
+                .with("outcome", toString(answer.outcome_))
+                .with("reason", answer.reason_);
+        }
+        if (const auto *current = find(id); answer.outcome_ == OrderOutcome::Fenced && current != nullptr && current->fencingToken_ == token) {
+            events_.deposed_(id);
+        }
+    });
+}
+
+auto WorkerSessions::acknowledgeEnds(const std::vector<std::pair<WorkerId, std::uint64_t>> &recorded) -> void
+{
+    for (const auto &[id, number] : recorded) {
+        if (auto *session = find(id); session != nullptr && number <= session->endsSeen_) {
+            session->endsRecorded_ = std::max(session->endsRecorded_, number);
+            renew(*session);
+        }
+    }
+}
+
+auto WorkerSessions::unrecordedEnds() const -> std::vector<std::pair<WorkerId, std::uint64_t>>
+{
+    std::vector<std::pair<WorkerId, std::uint64_t>> ends;
+    for (const auto &[id, session] : sessions_) {
+        if (session->endsSeen_ > session->endsRecorded_) {
+            ends.emplace_back(id, session->endsSeen_);
+        }
+    }
+    return ends;
+}
+
+auto WorkerSessions::needsRenewal(const WorkerSession &session) const -> bool
+{
+    if (session.entry_.address_.empty()) {
+        return false;
+    }
+    // Ends are not asked for again before they are recorded: the worker would answer with the same ones at once.
+    if (session.endsSeen_ > session.endsRecorded_) {
+        return BootClock::now() - session.renewedAt_ > options_.longestLease_ / 4;
+    }
+    if (session.endsRecorded_ > session.endsAcknowledged_) {
+        return true;
+    }
+    return std::any_of(session.runs_.begin(), session.runs_.end(), [](const auto &run) {
+        return run.second.stage_ != RunStage::Recorded && run.second.stage_ != RunStage::Ordered;
+    });
+}
+
+auto WorkerSessions::renew(WorkerSession &session) -> void
+{
+    if (session.renewing_ || !alive_ || !needsRenewal(session)) {
+        return;
+    }
+    session.renewing_ = true;
+    const auto now = BootClock::now();
+    const auto until = leaseEnd(session, now);
+    session.leaseUntil_ = std::max(session.leaseUntil_, until);
+    // The first look at a run in doubt and the last acknowledgement must not wait for an end.
+    const auto urgent = session.runs_.empty() || !session.answered_ || session.failingSince_ != BootTime{} || session.endsSeen_ > session.endsRecorded_
+        || std::any_of(session.runs_.begin(), session.runs_.end(), [](const auto &run) {
+                            return run.second.stage_ == RunStage::InDoubt;
+                        });
+    const auto wait = urgent ? std::chrono::milliseconds(0) : options_.renewWait_;
+    const auto id = session.entry_.id_;
+    const auto token = session.fencingToken_;
+    calls_.renew_({id, session.entry_.address_, token, session.endsRecorded_, until, wait, session.failingSince_ != BootTime{}},
+                  [this, alive = std::weak_ptr(alive_), id, born = session.entry_.born_, now, token](const OrderAnswer &answer) {
+                      if (!alive.expired()) {
+                          onRenewAnswer(id, born, now, token, answer);
+                      }
+                  });
+    session.endsAcknowledged_ = session.endsRecorded_;
+}
+
+auto WorkerSessions::onRenewAnswer(const WorkerId &id, std::uint64_t born, BootTime sentAt, std::uint64_t token, const OrderAnswer &answer) -> void
+{
+    auto *session = find(id);
+    if (session == nullptr || session->entry_.born_ != born || session->fencingToken_ != token) {
+        return;
+    }
+    session->renewing_ = false;
+    if (answer.outcome_ == OrderOutcome::Reborn || (answer.outcome_ == OrderOutcome::Accepted && answer.report_.born_ > born)) {
+        beginLife(*session, answer.report_.born_, "another life of the worker answered");
+    } else if (answer.outcome_ == OrderOutcome::Accepted) {
+        session->renewedAt_ = sentAt;
+        noteClock(*session, answer.report_.clock_);
+        onReport(*session, sentAt, token, answer.report_);
+    } else if (answer.outcome_ == OrderOutcome::Fenced) {
+        events_.deposed_(id);
+        return;
+    } else {
+        onRenewFailure(*session, answer);
+        return;
+    }
+    session = find(id);
+    if (session == nullptr) {
+        return;
+    }
+    if (session->runs_.empty() && !session->listed_) {
+        sessions_.erase(id);
+        return;
+    }
+    renew(*session);
+}
+
+auto WorkerSessions::onRenewFailure(WorkerSession &session, const OrderAnswer &answer) -> void
+{
+    session.endsAcknowledged_ = std::min(session.endsAcknowledged_, session.endsRecorded_ > 0 ? session.endsRecorded_ - 1 : 0);
+    if (session.failingSince_ == BootTime{}) {
+        session.failingSince_ = BootClock::now();
+        LogLine(LogSeverity::Warning, "worker_lost")
+            .with("worker", session.entry_.id_.value())
+            .with("runs", session.runs_.size())
+            .with("outcome", toString(answer.outcome_))
+            .with("reason", answer.reason_);
+    }
+    schedule_(options_.renewRetryPause_, [this, alive = std::weak_ptr(alive_), id = session.entry_.id_] {
+        if (alive.expired()) {
+            return;
+        }
+        if (auto *current = find(id); current != nullptr) {
+            renew(*current);
+        }
+    });
+}
+
+auto WorkerSessions::onReport(WorkerSession &session, BootTime sentAt, std::uint64_t token, const WorkerReport &report) -> void
+{
+    std::unordered_set<TaskRef> listedTasks;
+    for (const auto &listed : report.running_) {
+        listedTasks.insert(listed.task_);
+        onListedRun(session, listed);
+    }
+    onListedEnds(session, report);
+    // Runs in neither list are gone, if the list is newer than what is known of them.
+    std::vector<RunKey> missing;
+    for (const auto &[key, run] : session.runs_) {
+        const auto inList = std::any_of(report.running_.begin(), report.running_.end(), [&key](const ListedRun &listed) {
+            return listed.run_ == key.second && listed.task_ == key.first;
+        });
+        const auto newer = run.stage_ == RunStage::InDoubt ? token == session.fencingToken_ : run.acceptedAt_ != BootTime{} && run.acceptedAt_ <= sentAt;
+        if (!inList && newer && run.stage_ != RunStage::Recorded && run.stage_ != RunStage::Ordered) {
+            missing.push_back(key);
+        }
+    }
+    for (const auto &key : missing) {
+        const auto neverBegan = session.runs_[key].stage_ == RunStage::InDoubt;
+        endRun(session, key, EndKind::Lost, {}, neverBegan, "the worker does not list the run");
+    }
+}
+
+auto WorkerSessions::onListedRun(WorkerSession &session, const ListedRun &listed) -> void
+{
+    const auto found = session.runs_.find({listed.task_, listed.run_});
+    if (found == session.runs_.end()) {
+        LogLine(LogSeverity::Warning, "unexpected_run_stopped")
+            .job(listed.task_.job_.value())
+            .with("task", toString(listed.task_))
+            .with("run", listed.run_)
+            .with("worker", session.entry_.id_.value());
+        sendStop(session, listed.task_, listed.run_);
+        return;
+    }
+    auto &run = found->second;
+    const auto now = BootClock::now();
+    if (listed.percent_ != run.percent_) {
+        run.percent_ = listed.percent_;
+        run.progressAt_ = now;
+    }
+    if (!listed.checkpoint_.empty()) {
+        run.checkpoint_ = listed.checkpoint_;
+    }
+    if (run.stage_ == RunStage::InDoubt || run.stage_ == RunStage::Ordered) {
+        run.stage_ = RunStage::Running;
+        run.acceptedAt_ = now;
+        run.progressAt_ = now;
+        events_.began_(session.entry_.id_, listed.task_, listed.run_);
+    }
+}
+
+auto WorkerSessions::onListedEnds(WorkerSession &session, const WorkerReport &report) -> void
+{
+    for (const auto &end : report.ended_) {
+        if (end.number_ <= session.endsSeen_) {
+            continue;
+        }
+        session.endsSeen_ = end.number_;
+        endRun(session, {end.task_, end.run_}, end.kind_, end.checkpoint_, false, "listed by the worker");
+    }
+}
+
+auto WorkerSessions::endRun(WorkerSession &session, const RunKey &key, EndKind kind, const std::string &checkpoint, bool neverBegan, const std::string &reason) -> void
+{
+    const auto found = session.runs_.find(key);
+    if (found == session.runs_.end()) {
+        return;
+    }
+    const auto run = std::move(found->second);
+    session.runs_.erase(found);
+    session.used_ -= run.demand_;
+    const auto ranFor = run.acceptedAt_ == BootTime{} ? std::chrono::milliseconds(0) : milliseconds(BootClock::now() - run.acceptedAt_);
+    events_.ended_({session.entry_.id_, key.first, key.second, kind, checkpoint.empty() ? run.checkpoint_ : checkpoint, neverBegan, reason, ranFor});
+    events_.roomChanged_();
+}
+
+auto WorkerSessions::endAllRuns(WorkerSession &session, EndKind kind, const std::string &reason) -> void
+{
+    while (!session.runs_.empty()) {
+        endRun(session, session.runs_.begin()->first, kind, {}, false, reason);
+    }
+}
+
+auto WorkerSessions::beginLife(WorkerSession &session, std::uint64_t born, const std::string &reason) -> void
+{
+    LogLine(LogSeverity::Warning, "worker_restarted")
+        .with("worker", session.entry_.id_.value())
+        .with("born_before", session.entry_.born_)
+        .with("born", born)
+        .with("runs", session.runs_.size());
+    if (born != 0) {
+        session.entry_.born_ = born;
+    }
+    session.endsSeen_ = 0;
+    session.endsRecorded_ = 0;
+    session.endsAcknowledged_ = 0;
+    session.leaseUntil_ = {};
+    session.clock_ = {};
+    session.clockAt_ = BootClock::now();
+    session.answered_ = false;
+    session.adopted_ = false;
+    session.renewing_ = false;
+    session.fencingToken_ = nextToken();
+    session.failingSince_ = {};
+    endAllRuns(session, EndKind::Lost, reason);
+}
+
+auto WorkerSessions::leaseHasRunOut(const WorkerSession &session, BootTime now) const -> bool
+{
+    const auto stretched = [this](std::chrono::milliseconds time) {
+        return std::chrono::duration_cast<BootTime::duration>(time * (1.0 / (1.0 - options_.clockDrift_)));
+    };
+    if (!session.answered_ && session.adopted_) {
+        // A former leader may have renewed the lease until it had to stop.
+        return now > session.sessionStart_ + options_.renewWithoutStore_ + stretched(options_.longestLease_) + options_.leaseMargin_;
+    }
+    const auto left = std::max(std::chrono::milliseconds(0), session.leaseUntil_ - session.clock_);
+    return now > session.clockAt_ + stretched(std::min(left, options_.longestLease_ + milliseconds(now - session.clockAt_))) + options_.leaseMargin_;
+}
+
+auto WorkerSessions::tick(BootTime now) -> void
+{
+    std::vector<WorkerId> ids;
+    for (const auto &[id, session] : sessions_) {
+        if (!session->runs_.empty()) {
+            ids.push_back(id);
+        }
+    }
+    for (const auto &id : ids) {
+        auto &session = *sessions_[id];
+        if ((session.failingSince_ != BootTime{} || !session.answered_) && leaseHasRunOut(session, now)) {
+            endAllRuns(session, EndKind::Lapsed, "the lease has run out");
+            if (!session.listed_) {
+                sessions_.erase(id);
+            }
+            continue;
+        }
+        for (const auto &[key, run] : session.runs_) {
+            if (run.stage_ == RunStage::Stopping && now - run.stopSentAt_ > options_.stopTime_ + options_.orderTimeout_) {
+                sendStop(session, key.first, key.second);
+                break;
+            }
+        }
+        renew(session);
+    }
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/fleet/directory.cpp
@@ -0,0 +1,77 @@
+#include "marjoramfold/fleet/directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Marjoramfold
+{
+Directory::Directory(std::uint64_t version, std::vector<QueueRule> queues, std::vector<PoolRule> pools, std::vector<TeamRule> teams)
+    : version_(version)
+    , queues_(std::move(queues))
+    , pools_(std::move(pools))
+    , teams_(std::move(teams))
+{
+    for (std::size_t i = 0; i < queues_.size(); ++i) {
+        queuesByHost_[queues_[i].host_].push_back(i);
+        queuesByName_[queues_[i].name_] = i;
+    }
+    // The longest prefix first, so that the first match is the right one.
+    for (auto &[host, indexes] : queuesByHost_) {
+        std::sort(indexes.begin(), indexes.end(), [this](std::size_t left, std::size_t right) {
+            return queues_[left].pathPrefix_.size() > queues_[right].pathPrefix_.size();
+        });
+    }
+    for (std::size_t i = 0; i < teams_.size(); ++i) {
+        for (const auto &key : teams_[i].keys_) {
+            teamsByKey_[key] = i;
+        }
+    }
+}
+
+auto Directory::version() const -> std::uint64_t
+{
+    return version_;
+}
+
+auto Directory::findQueue(std::string_view host, std::string_view path) const -> const QueueRule *
+{
+    const auto found = queuesByHost_.find(std::string(host));
+    if (found == queuesByHost_.end()) {
+        return nullptr;
+    }
+    for (const auto index : found->second) {
+        if (path.starts_with(queues_[index].pathPrefix_)) {
+            return &queues_[index];
+        }
+    }
+    return nullptr;
+}
+
+auto Directory::queueNamed(const std::string &name) const -> const QueueRule *
+{
+    const auto found = queuesByName_.find(name);
+    return found == queuesByName_.end() ? nullptr : &queues_[found->second];
+}
+
+auto Directory::poolNamed(const std::string &name) const -> const PoolRule *
+{
+    const auto found = std::find_if(pools_.begin(), pools_.end(), [&name](const PoolRule &pool) {
+        return pool.name_ == name;
+    });
+    return found == pools_.end() ? nullptr : &*found;
+}
+
+auto Directory::teamOfKey(const std::string &key) const -> const TeamRule *
+{
+    const auto found = teamsByKey_.find(key);
+    return found == teamsByKey_.end() ? nullptr : &teams_[found->second];
+}
+
+auto Directory::team(const TeamId &id) const -> const TeamRule *
+{
+    const auto found = std::find_if(teams_.begin(), teams_.end(), [&id](const TeamRule &team) {
+        return team.id_ == id;
+    });
+    return found == teams_.end() ? nullptr : &*found;
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/fleet/workerentry.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "marjoramfold/core/ids.h"
+#include "marjoramfold/fleet/jobplan.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// What a worker says of itself in the platform's list.
+struct WorkerEntry {
+    WorkerId id_;
+    /// HOST:PORT for orders.
+    std::string address_;
+    std::string pool_;
+    AvailabilityZoneId zone_;
+    RackId rack_;
+    std::vector<std::string> labels_;
+    Demand capacity_;
+    /// Unix milliseconds of the start of this life of the worker; it tells a restarted worker under the same id.
+    std::uint64_t born_ = 0;
+    /// The worker's own clock when it wrote the entry.
+    std::chrono::milliseconds clock_{0};
+    /// The worker will leave and must get no new tasks.
+    bool draining_ = false;
+    /// Least time that is left to a draining worker.
+    std::chrono::milliseconds remaining_{0};
+};
+
+/// How a run of a task ended.
+enum class EndKind : std::uint8_t {
+    Done,
+    Failed,
+    Stopped,
+    /// The worker's lease ran out.
+    Lapsed,
+    /// Another member of the gang ended.
+    Broken,
+    /// The other members of the gang did not come.
+    Alone,
+    /// The scheduler knows that the run is gone, but not how it ended.
+    Lost,
+};
+
+/// Name of an end for logs.
+[[nodiscard]] auto toString(EndKind kind) -> std::string_view;
+
+/// A run that a worker lists as running.
+struct ListedRun {
+    TaskRef task_;
+    std::uint32_t run_ = 0;
+    std::string checkpoint_;
+    int percent_ = 0;
+};
+
+/// A run that a worker lists as ended.
+struct ListedEnd {
+    /// Rises within a life of the worker; acknowledging a number makes the worker forget all ends up to it.
+    std::uint64_t number_ = 0;
+    TaskRef task_;
+    std::uint32_t run_ = 0;
+    EndKind kind_ = EndKind::Lost;
+    std::string checkpoint_;
+};
+
+/// A worker's answer to a lease renewal.
+struct WorkerReport {
+    std::uint64_t born_ = 0;
+    std::chrono::milliseconds clock_{0};
+    std::vector<ListedRun> running_;
+    std::vector<ListedEnd> ended_;
+};
+
+/// An order to start a run of a task.
+struct StartOrder {
+    WorkerId worker_;
+    std::string address_;
+    TaskRef task_;
+    std::uint32_t run_ = 0;
+    std::string payload_;
+    std::string checkpoint_;
+    std::uint64_t fencingToken_ = 0;
+    /// Time on the worker's clock until which its runs may go on.
+    std::chrono::milliseconds leaseUntil_{0};
+};
+
+/// An order to stop a run.
+struct StopOrder {
+    WorkerId worker_;
+    std::string address_;
+    TaskRef task_;
+    std::uint32_t run_ = 0;
+    std::uint64_t fencingToken_ = 0;
+};
+
+/// A lease renewal that also asks for the worker's lists.
+struct RenewOrder {
+    WorkerId worker_;
+    std::string address_;
+    std::uint64_t fencingToken_ = 0;
+    /// Ends up to this number are recorded and may be forgotten.
+    std::uint64_t acknowledged_ = 0;
+    std::chrono::milliseconds leaseUntil_{0};
+    /// How long the worker may wait for an end before it answers.
+    std::chrono::milliseconds wait_{0};
+    /// Do not reuse a connection, because the last one went silent.
+    bool freshConnection_ = false;
+};
+
+/// What became of an order or renewal.
+enum class OrderOutcome : std::uint8_t {
+    Accepted,
+    /// The worker has surely not done it and will not.
+    Refused,
+    /// As Refused, because the worker has seen a higher fencing token.
+    Fenced,
+    /// As Refused, because the lease time had passed on the worker's clock.
+    Late,
+    /// As Refused, because another life of the worker answered.
+    Reborn,
+    /// No answer: the order may have been carried out, or may be later.
+    Unknown,
+};
+
+/// Name of an outcome for logs.
+[[nodiscard]] auto toString(OrderOutcome outcome) -> std::string_view;
+
+/// The answer to an order.
+struct OrderAnswer {
+    OrderOutcome outcome_ = OrderOutcome::Unknown;
+    std::string reason_;
+    /// Filled when the worker answered with them.
+    std::uint64_t born_ = 0;
+    std::chrono::milliseconds clock_{0};
+    WorkerReport report_;
+};
+} // namespace Marjoramfold
--- a/marjoramfold/http/httpclient.h
+++ b/marjoramfold/http/httpclient.h
@@ -27,6 +27,8 @@
     std::chrono::milliseconds timeout_{5'000};
     /// A header that the answer must repeat with the same value; an answer with another one ends the request and its connection.
     std::optional<HttpHeader> echo_ = std::nullopt;
+    /// Opens a connection of its own, because those in use may have gone silent.
+    bool freshConnection_ = false;
 };
 
 /// A complete answer: its body has the length that the server announced.
--- a/marjoramfold/http/httptransfer.cpp
+++ b/marjoramfold/http/httptransfer.cpp
@@ -136,6 +136,7 @@
         std::max(std::chrono::milliseconds(1), std::chrono::ceil<std::chrono::milliseconds>(transfer.deadline_ - std::chrono::steady_clock::now()));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(connectTimeout, left).count()));
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.freshConnection_ ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
--- /dev/null
+++ b/marjoramfold/node/election.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "marjoramfold/core/clock.h"
+#include "marjoramfold/node/jobfeed.h"
+#include "marjoramfold/store/orderedappender.h"
+#include "marjoramfold/store/streamfollower.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Marjoramfold
+{
+/// Times of the election.
+struct ElectionOptions {
+    std::string instance_;
+    std::uint64_t process_ = 0;
+    /// A leader that showed no sign for this long is succeeded: three renewals and one repeated append.
+    std::chrono::milliseconds silence_{1700};
+    /// How long this instance lets others go first.
+    std::chrono::milliseconds courtesy_{0};
+};
+
+/// Decides when this instance claims leadership and notices when it gains or loses it. All from the records of the feed.
+class Election
+{
+public:
+    /// Called with the epoch when this instance leads, and when it no longer does.
+    struct Hooks {
+        std::function<void(std::uint64_t epoch)> gained_;
+        std::function<void()> lost_;
+    };
+
+    Election(ElectionOptions options, JobFeed &feed, std::shared_ptr<StreamFollower> follower, std::shared_ptr<OrderedAppender> appender, Hooks hooks);
+
+    /// Looks at the feed; called when the leader changed and a few times a second.
+    auto check() -> void;
+
+    /// Gives up an epoch that this instance leads; it may claim a later one.
+    auto abandon() -> void;
+
+    /// This instance shuts down and claims no more.
+    auto retire() -> void;
+
+    /// Epoch that this instance leads; 0 when it does not.
+    [[nodiscard]] auto ledEpoch() const -> std::uint64_t;
+
+private:
+    [[nodiscard]] auto isVacant() const -> bool;
+    auto claim() -> void;
+
+    ElectionOptions options_;
+    JobFeed &feed_;
+    std::shared_ptr<StreamFollower> follower_;
+    std::shared_ptr<OrderedAppender> appender_;
+    Hooks hooks_;
+    std::uint64_t ledEpoch_ = 0;
+    /// Epochs up to this one were led here and given up.
+    std::uint64_t abandonedEpoch_ = 0;
+    bool claiming_ = false;
+    bool probing_ = false;
+    bool retired_ = false;
+    BootTime vacantSince_{};
+    std::shared_ptr<bool> alive_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/node/frontdoor.cpp
@@ -0,0 +1,257 @@
+#include "marjoramfold/node/frontdoor.h"
+
+#include "marjoramfold/observability/logline.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Marjoramfold
+{
+namespace
+{
+constexpr std::size_t JobIdDigits = 16;
+constexpr std::chrono::milliseconds ShortestPatience{100};
+
+auto isJobId(const std::string &text) -> bool
+{
+    return text.size() == JobIdDigits && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+               return std::isxdigit(c) != 0;
+           });
+}
+
+auto nameOfKind(CallKind kind) -> std::string
+{
+    switch (kind) {
+    case CallKind::Submit:
+        return "submit";
+    case CallKind::Ask:
+        return "ask";
+    case CallKind::Cancel:
+        return "cancel";
+    case CallKind::Unsupported:
+        break;
+    }
+    return "unsupported";
+}
+
+auto nameOfAnswer(const CallerAnswer &answer) -> std::string
+{
+    const auto *error = std::get_if<Error>(&answer);
+    return error == nullptr ? "ok" : std::string(errorAnswer(error->kind_).name_);
+}
+
+auto age(BootTime since) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - since).count();
+}
+} // namespace
+
+FrontDoor::FrontDoor(FrontDoorOptions options,
+                     const PlatformBinding &binding,
+                     const OperatorView &view,
+                     JobFeed &feed,
+                     std::shared_ptr<StreamFollower> follower,
+                     std::shared_ptr<OrderedAppender> appender,
+                     Schedule schedule,
+                     MetricsRegistry &metrics)
+    : options_(options)
+    , decodeJobPlan_(binding.decodeJobPlan_)
+    , view_(view)
+    , feed_(feed)
+    , follower_(std::move(follower))
+    , appender_(std::move(appender))
+    , schedule_(std::move(schedule))
+    , answers_(metrics.counter({"marjoramfold_caller_answers_total", "Answers to callers by call and outcome", {"call", "outcome"}}))
+    , latency_(metrics.histogram({"marjoramfold_caller_answer_seconds", "Time to the answer by call", {"call"}}, latencyBuckets()))
+{
+}
+
+auto FrontDoor::unavailable(const std::string &why) const -> Error
+{
+    return {ErrorKind::LogUnavailable, why, options_.retryAfter_};
+}
+
+auto FrontDoor::storeIsSilent() const -> bool
+{
+    return appender_->currentAge(BootClock::now()) > options_.storeSilence_;
+}
+
+auto FrontDoor::isReady() const -> bool
+{
+    const auto now = BootClock::now();
+    return view_.directory().version() != 0 && follower_->isLoaded() && now - view_.currentAsOf() < options_.oldestView_ && !storeIsSilent();
+}
+
+auto FrontDoor::admit(const CallerCall &call) const -> Result<Admitted>
+{
+    const auto &directory = view_.directory();
+    if (directory.version() == 0 || !follower_->isLoaded()) {
+        return Error{ErrorKind::RulesNotLoaded, "no configuration has been read yet", options_.retryAfter_};
+    }
+    if (BootClock::now() - view_.currentAsOf() > options_.oldestView_) {
+        return unavailable("the configuration cannot be confirmed at the store");
+    }
+    const auto *queue = directory.findQueue(call.host_, call.path_);
+    if (queue == nullptr) {
+        return Error{ErrorKind::NotFound, "no queue has this host and path", std::nullopt};
+    }
+    const auto *team = directory.teamOfKey(call.key_);
+    if (team == nullptr && !queue->public_) {
+        return Error{ErrorKind::Unauthorized, "the key is unknown", std::nullopt};
+    }
+    if (call.kind_ == CallKind::Unsupported) {
+        return Error{ErrorKind::InvalidRequest, "the method is not supported", std::nullopt};
+    }
+    Admitted admitted{queue->name_, team == nullptr ? TeamId() : team->id_, JobId(call.path_.substr(queue->pathPrefix_.size()))};
+    if (!isJobId(admitted.job_.value()) && !(call.kind_ == CallKind::Ask && admitted.job_.isEmpty())) {
+        return Error{ErrorKind::InvalidRequest, "a job's id has 16 hexadecimal digits", std::nullopt};
+    }
+    return admitted;
+}
+
+auto FrontDoor::handle(CallerCall call, Respond respond) -> void
+{
+    const auto begin = BootClock::now();
+    const auto admitted = admit(call);
+    const auto job = isOk(admitted) ? valueOf(admitted).job_.value() : std::string();
+    auto answer = [this, begin, kind = call.kind_, job, path = call.path_, respond = std::move(respond)](CallerAnswer result) {
+        const auto callName = nameOfKind(kind);
+        const auto *error = std::get_if<Error>(&result);
+        answers_.at({callName, nameOfAnswer(result)}).Increment();
+        latency_.at({callName}).Observe(std::chrono::duration<double>(BootClock::now() - begin).count());
+        // States are asked for often; only the other answers are worth a line each.
+        if (kind != CallKind::Ask || error != nullptr) {
+            LogLine(error == nullptr ? LogSeverity::Info : LogSeverity::Warning, "call_answered")
+                .job(job)
+                .with("call", callName)
+                .with("path", path)
+                .with("outcome", nameOfAnswer(result))
+                .with("why", error == nullptr ? "" : error->message_)
+                .with("took_ms", age(begin))
+                .with("config", view_.directory().version())
+                .with("config_age_ms", age(view_.currentAsOf()))
+                .with("feed_age_ms", age(follower_->currentAsOf()));
+        }
+        respond(std::move(result));
+    };
+    if (!isOk(admitted)) {
+        answer(errorOf(admitted));
+        return;
+    }
+    switch (call.kind_) {
+    case CallKind::Submit:
+        submit(call, valueOf(admitted), std::move(answer));
+        break;
+    case CallKind::Cancel:
+        cancel(call, valueOf(admitted), std::move(answer));
+        break;
+    default:
+        ask(call, valueOf(admitted), std::move(answer));
+        break;
+    }
+}
+
+auto FrontDoor::submit(const CallerCall &call, const Admitted &admitted, Respond respond) -> void
+{
+    if (feed_.find(admitted.job_) != nullptr) {
+        respond(JobAccepted{});
+        return;
+    }
+    if (const auto pending = submitting_.find(admitted.job_); pending != submitting_.end()) {
+        pending->second.push_back(std::move(respond));
+        return;
+    }
+    auto plan = decodeJobPlan_(call.body_);
+    if (!isOk(plan)) {
+        respond(errorOf(plan));
+        return;
+    }
+    const auto acceptedAt = toUnixMilliseconds(std::chrono::system_clock::now());
+    const Submission submission{admitted.job_, admitted.queue_, admitted.team_, acceptedAt, valueOf(std::move(plan))};
+    submitting_[admitted.job_].push_back(std::move(respond));
+    store({JobFeed::submissionRecord(submission)}, call.patience_, JobAccepted{}, [this, id = admitted.job_](const CallerAnswer &answer) {
+        const auto node = submitting_.extract(id);
+        for (const auto &waiter : node.mapped()) {
+            waiter(answer);
+        }
+    });
+}
+
+auto FrontDoor::store(std::vector<KeyedRecord> records, std::chrono::milliseconds patience, CallerAnswer success, Respond respond) -> void
+{
+    if (storeIsSilent()) {
+        respond(unavailable("the store does not answer; nothing was stored"));
+        return;
+    }
+    // Whoever answers first takes the function: the store's result or the caller's deadline.
+    const auto once = std::make_shared<Respond>(std::move(respond));
+    const auto answer = [once](CallerAnswer result) {
+        if (*once) {
+            std::exchange(*once, nullptr)(std::move(result));
+        }
+    };
+    appender_->writeUntil(std::move(records),
+                          BootClock::now() + std::min(options_.longestQueueing_, patience / 2),
+                          [this, answer, success = std::move(success)](const WriteResult &result) {
+                              if (std::holds_alternative<WriteStored>(result)) {
+                                  answer(success);
+                                  follower_->hurry();
+                              } else if (const auto *refused = std::get_if<WriteRefused>(&result)) {
+                                  answer(unavailable("the store refused the append: " + refused->reason_));
+                              } else {
+                                  answer(unavailable("another process of this instance has taken over"));
+                              }
+                          });
+    schedule_(std::max(ShortestPatience, patience - options_.answerReserve_), [answer] {
+        answer(Error{ErrorKind::Timeout, "the store has not answered; the request may have been stored", std::nullopt});
+    });
+}
+
+auto FrontDoor::withCurrentJob(const JobId &id, std::chrono::milliseconds patience, const Respond &respond, std::function<void(const FeedJob *)> use) -> void
+{
+    if (const auto *job = feed_.find(id); job != nullptr) {
+        use(job);
+        return;
+    }
+    // Another instance may have accepted the job a moment ago.
+    follower_->whenCurrent(std::max(ShortestPatience, patience - options_.answerReserve_), [this, id, respond, use = std::move(use)](bool current) {
+        const auto *job = feed_.find(id);
+        if (job == nullptr && !current) {
+            respond(unavailable("the job cannot be looked up at the store now"));
+            return;
+        }
+        use(job);
+    });
+}
+
+auto FrontDoor::ask(const CallerCall &call, const Admitted &admitted, Respond respond) -> void
+{
+    if (admitted.job_.isEmpty()) {
+        respond(WaitingAnswer{feed_.waitingOf(admitted.queue_)});
+        return;
+    }
+    withCurrentJob(admitted.job_, call.patience_, respond, [this, respond](const FeedJob *job) {
+        if (job == nullptr) {
+            respond(Error{ErrorKind::JobUnknown, "no such job", std::nullopt});
+            return;
+        }
+        respond(JobStateAnswer{job->shownPhase()});
+        if (!isFinalPhase(job->shownPhase())) {
+            follower_->hurry();
+        }
+    });
+}
+
+auto FrontDoor::cancel(const CallerCall &call, const Admitted &admitted, Respond respond) -> void
+{
+    withCurrentJob(admitted.job_, call.patience_, respond, [this, id = admitted.job_, patience = call.patience_, respond](const FeedJob *job) {
+        if (job == nullptr) {
+            respond(Error{ErrorKind::JobUnknown, "no such job", std::nullopt});
+        } else if (job->cancelled_ || isFinalPhase(job->phase_)) {
+            respond(JobCancelled{});
+        } else {
+            store({JobFeed::cancelRecord(id)}, patience, JobCancelled{}, respond);
+        }
+    });
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/node/frontdoor.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "marjoramfold/core/clock.h"
+#include "marjoramfold/node/jobfeed.h"
+#include "marjoramfold/node/operatorview.h"
+#include "marjoramfold/node/platformbinding.h"
+#include "marjoramfold/observability/metrics.h"
+#include "marjoramfold/store/orderedappender.h"
+#include "marjoramfold/store/streamfollower.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// Times of the callers' interface.
+struct FrontDoorOptions {
+    /// A view of the operators' configuration older than this decides nothing: a key may have been taken away since.
+    std::chrono::milliseconds oldestView_{3000};
+    /// When a caller that was refused should come back.
+    std::chrono::milliseconds retryAfter_{1000};
+    /// Kept from a caller's patience for the way of the answer.
+    std::chrono::milliseconds answerReserve_{300};
+    /// A submission that could not be sent to the store by then is refused, so that the caller can go elsewhere.
+    std::chrono::milliseconds longestQueueing_{400};
+    /// An append without an answer for this long means that the store cannot be reached.
+    std::chrono::milliseconds storeSilence_{1200};
+};
+
+/// Answers callers: checks queue and key, stores submissions and cancellations, and tells states from the feed.
+class FrontDoor
+{
+public:
+    using Respond = std::function<void(CallerAnswer)>;
+    using Schedule = std::function<void(std::chrono::milliseconds, std::function<void()>)>;
+
+    FrontDoor(FrontDoorOptions options,
+              const PlatformBinding &binding,
+              const OperatorView &view,
+              JobFeed &feed,
+              std::shared_ptr<StreamFollower> follower,
+              std::shared_ptr<OrderedAppender> appender,
+              Schedule schedule,
+              MetricsRegistry &metrics);
+
+    /// Answers a call, now or later, exactly once.
+    auto handle(CallerCall call, Respond respond) -> void;
+
+    /// True while calls can be decided and stored.
+    [[nodiscard]] auto isReady() const -> bool;
+
+private:
+    /// A checked call.
+    struct Admitted {
+        std::string queue_;
+        TeamId team_;
+        JobId job_;
+    };
+
+    [[nodiscard]] auto admit(const CallerCall &call) const -> Result<Admitted>;
+    auto submit(const CallerCall &call, const Admitted &admitted, Respond respond) -> void;
+    auto ask(const CallerCall &call, const Admitted &admitted, Respond respond) -> void;
+    auto cancel(const CallerCall &call, const Admitted &admitted, Respond respond) -> void;
+    auto store(std::vector<KeyedRecord> records, std::chrono::milliseconds patience, CallerAnswer success, Respond respond) -> void;
+    /// Runs a function with the job's newest state, or answers that the state cannot be known now.
+    auto withCurrentJob(const JobId &id, std::chrono::milliseconds patience, const Respond &respond, std::function<void(const FeedJob *)> use) -> void;
+    [[nodiscard]] auto storeIsSilent() const -> bool;
+    [[nodiscard]] auto unavailable(const std::string &why) const -> Error;
+
+    FrontDoorOptions options_;
+    std::function<Result<JobPlan>(const std::string &)> decodeJobPlan_;
+    const OperatorView &view_;
+    JobFeed &feed_;
+    std::shared_ptr<StreamFollower> follower_;
+    std::shared_ptr<OrderedAppender> appender_;
+    Schedule schedule_;
+    /// Submissions on their way to the store, with everyone who waits for one.
+    std::unordered_map<JobId, std::vector<Respond>> submitting_;
+    CounterFamily &answers_;
+    HistogramFamily &latency_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/node/instance.cpp
@@ -0,0 +1,339 @@
+#include "marjoramfold/node/instance.h"
+
+#include "marjoramfold/observability/logline.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <random>
+#include <utility>
+
+namespace Marjoramfold
+{
+namespace
+{
+constexpr std::chrono::milliseconds CheckInterval{100};
+/// Pause between reads of the feed by an instance that does not lead; callers learn of changes this much later at most.
+constexpr std::chrono::milliseconds FollowerPace{250};
+/// The balancer needs two failed checks, a second apart, to send nothing more to an instance.
+constexpr std::chrono::milliseconds DrainNotice{2300};
+/// Left of the grace for the end itself.
+constexpr std::chrono::milliseconds EndReserve{1000};
+/// The platform refuses larger bodies.
+constexpr std::size_t MaxBodyBytes = 262'144;
+constexpr std::chrono::seconds CallerIdleTimeout{60};
+/// A smaller share of a core lets others lead first: this long for an instance without any.
+constexpr std::chrono::milliseconds LongestCourtesy{600};
+constexpr std::chrono::milliseconds CourtesySpread{150};
+
+auto serverOptions(const std::string &address) -> HttpServerOptions
+{
+    const auto colon = address.rfind(':');
+    HttpServerOptions options;
+    options.address_ = address.substr(0, colon);
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(), options.port_);
+    options.maxBodyBytes_ = MaxBodyBytes;
+    options.idleTimeout_ = CallerIdleTimeout;
+    return options;
+}
+
+auto randomNumber() -> std::uint64_t
+{
+    std::random_device device;
+    return (std::uint64_t(device()) << 32U) | device();
+}
+
+/// How long an instance waits before it claims: the strong go first, and equals go one after the other.
+auto courtesyOf(const NodeSettings &settings) -> std::chrono::milliseconds
+{
+    const auto weakness = 1.0 / (1.0 + 8.0 * settings.coreShare_);
+    const auto spread = std::hash<std::string>()(settings.name_) % static_cast<std::size_t>(CourtesySpread.count());
+    return std::chrono::milliseconds(static_cast<std::int64_t>(weakness * weakness * static_cast<double>(LongestCourtesy.count()))) + std::chrono::milliseconds(spread);
+}
+} // namespace
+
+Instance::Instance(asio::io_context &control, NodeSettings settings, const MakeBinding &makeBinding)
+    : control_(control)
+    , settings_(std::move(settings))
+    , process_(randomNumber())
+    , storeClient_(control)
+    , workerClient_(control)
+    , binding_(makeBinding(
+          storeClient_,
+          workerClient_,
+          [this] {
+              return settings_.storeAddress_;
+          },
+          settings_.dispatch_.orderTimeout_))
+{
+    const auto scheduleStep = [this](std::chrono::milliseconds pause, std::function<void()> step) {
+        schedule(pause, std::move(step));
+    };
+    feedFollower_ = makeFollower();
+    appender_ = makeAppender();
+    view_ = std::make_unique<OperatorView>(binding_, scheduleStep, [this] {
+        if (leader_) {
+            leader_->onDirectoryChanged();
+        }
+    });
+    FrontDoorOptions options;
+    // Refusing at this share of the bound leaves the rest for calls that were admitted before.
+    constexpr double OldestViewShare = 0.6;
+    options.oldestView_ = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.revokeBound_ * OldestViewShare);
+    frontDoor_ = std::make_unique<FrontDoor>(options, binding_, *view_, feed_, feedFollower_, appender_, scheduleStep, metrics_);
+    election_ = makeElection();
+    feed_.setListeners({[this](const Submission &submission) {
+                            if (leader_) {
+                                leader_->onSubmitted(submission);
+                            }
+                        },
+                        [this](const JobId &id) {
+                            if (leader_) {
+                                leader_->onCancelled(id);
+                            }
+                        },
+                        [this](const JobId &id) {
+                            if (leader_) {
+                                leader_->onForgotten(id);
+                            }
+                        },
+                        [this] {
+                            asio::post(control_, [this] {
+                                election_->check();
+                            });
+                        }});
+}
+
+Instance::~Instance()
+{
+    traffic_.stop();
+    if (trafficThread_.joinable()) {
+        trafficThread_.join();
+    }
+}
+
+auto Instance::makeFollower() -> std::shared_ptr<StreamFollower>
+{
+    FollowerOptions options;
+    options.stream_ = feedStream();
+    options.pace_ = FollowerPace;
+    return std::make_shared<StreamFollower>(
+        binding_.store_,
+        [this](std::chrono::milliseconds pause, std::function<void()> step) {
+            schedule(pause, std::move(step));
+        },
+        options,
+        [this](const std::vector<StoredRecord> &records, bool loaded) {
+            onFeedRecords(records, loaded);
+        },
+        [this] {
+            feed_.beginReload();
+        });
+}
+
+auto Instance::makeAppender() -> std::shared_ptr<OrderedAppender>
+{
+    AppenderOptions options;
+    options.stream_ = feedStream();
+    options.producer_ = settings_.name_ + "-" + std::to_string(process_);
+    return std::make_shared<OrderedAppender>(
+        binding_.store_,
+        [this](std::chrono::milliseconds pause, std::function<void()> step) {
+            schedule(pause, std::move(step));
+        },
+        options);
+}
+
+auto Instance::makeElection() -> std::unique_ptr<Election>
+{
+    ElectionOptions options;
+    options.instance_ = settings_.name_;
+    options.process_ = process_;
+    options.courtesy_ = courtesyOf(settings_);
+    return std::make_unique<Election>(options,
+                                      feed_,
+                                      feedFollower_,
+                                      appender_,
+                                      Election::Hooks{[this](std::uint64_t epoch) {
+                                                          lead(epoch);
+                                                      },
+                                                      [this] {
+                                                          stopLeading();
+                                                      }});
+}
+
+auto Instance::schedule(std::chrono::milliseconds pause, std::function<void()> step) -> void
+{
+    auto timer = std::make_shared<asio::steady_timer>(control_, pause);
+    timer->async_wait([timer, step = std::move(step)](const std::error_code &error) {
+        if (!error) {
+            step();
+        }
+    });
+}
+
+auto Instance::start() -> void
+{
+    callers_ = std::make_unique<HttpServer>(traffic_, serverOptions(settings_.callerAddress_), [this](HttpServerRequest request, HttpResponder respond) {
+        handleCaller(std::move(request), std::move(respond));
+    });
+    readiness_ = std::make_unique<HttpServer>(traffic_, serverOptions(settings_.readinessAddress_), [this](const HttpServerRequest &request, const HttpResponder &respond) {
+        handleReadiness(request, respond);
+    });
+    metricsServer_ = std::make_unique<HttpServer>(traffic_, serverOptions(settings_.metricsAddress_), [this](const HttpServerRequest & /*request*/, const HttpResponder &respond) {
+        respond({200, {}, metrics_.text(), MetricsContentType, false});
+    });
+    callers_->start();
+    readiness_->start();
+    metricsServer_->start();
+    trafficThread_ = std::thread([this] {
+        const auto work = asio::make_work_guard(traffic_);
+        traffic_.run();
+    });
+    feedFollower_->start();
+    view_->start();
+    checkPeriodically();
+    LogLine(LogSeverity::Info, "instance_started")
+        .with("instance", settings_.name_)
+        .with("zone", settings_.zone_)
+        .with("process", process_)
+        .with("callers", settings_.callerAddress_)
+        .with("store", settings_.storeAddress_);
+}
+
+auto Instance::reload(const NodeSettings &settings) -> void
+{
+    LogLine(LogSeverity::Info, "settings_reloaded").with("instance", settings.name_).with("store_before", settings_.storeAddress_).with("store", settings.storeAddress_);
+    // Addresses to listen on and the name stay as they were at the start.
+    settings_.storeAddress_ = settings.storeAddress_;
+    settings_.grace_ = settings.grace_;
+}
+
+auto Instance::handleCaller(HttpServerRequest request, HttpResponder respond) -> void
+{
+    ++openCalls_;
+    auto call = binding_.decodeCall_(request);
+    asio::post(control_, [this, call = std::move(call), respond = std::move(respond)]() mutable {
+        frontDoor_->handle(std::move(call), [this, respond = std::move(respond)](const CallerAnswer &answer) {
+            auto response = binding_.encodeAnswer_(answer);
+            // A caller of a leaving instance opens its next connection elsewhere.
+            response.closeConnection_ = draining_;
+            respond(std::move(response));
+            --openCalls_;
+        });
+    });
+}
+
+auto Instance::handleReadiness(const HttpServerRequest &request, const HttpResponder &respond) -> void
+{
+    if (!binding_.isReadinessCheck_(request)) {
+        respond({404, {}, "{}"});
+        return;
+    }
+    respond({ready_ && !draining_ ? 200 : 503, {}, "{}"});
+}
+
+auto Instance::onFeedRecords(const std::vector<StoredRecord> &records, bool loaded) -> void
+{
+    feed_.apply(records);
+    if (loaded) {
+        feed_.endReload();
+    }
+}
+
+auto Instance::checkPeriodically() -> void
+{
+    const auto ready = frontDoor_->isReady();
+    if (ready != ready_) {
+        LogLine(LogSeverity::Info, ready ? "instance_ready" : "instance_not_ready")
+            .with("config", view_->directory().version())
+            .with("feed_loaded", feedFollower_->isLoaded());
+        ready_ = ready;
+    }
+    election_->check();
+    schedule(CheckInterval, [this] {
+        checkPeriodically();
+    });
+}
+
+auto Instance::lead(std::uint64_t epoch) -> void
+{
+    LeaderContext context;
+    context.binding_ = binding_;
+    context.dispatch_ = settings_.dispatch_;
+    context.instance_ = settings_.name_;
+    context.process_ = process_;
+    context.directory_ = [this]() -> const Directory & {
+        return view_->directory();
+    };
+    context.evacuatedZones_ = [this]() -> const std::unordered_set<std::string> & {
+        return view_->evacuatedZones();
+    };
+    context.wallNow_ = [] {
+        return toUnixMilliseconds(std::chrono::system_clock::now());
+    };
+    context.schedule_ = [this](std::chrono::milliseconds pause, std::function<void()> step) {
+        schedule(pause, std::move(step));
+    };
+    context.stepDown_ = [this, epoch](const std::string &reason) {
+        // Runs later, because the caller is a part of what goes away.
+        asio::post(control_, [this, epoch, reason] {
+            if (election_->ledEpoch() == epoch) {
+                LogLine(LogSeverity::Warning, "stepping_down").with("epoch", epoch).with("reason", reason);
+                election_->abandon();
+            }
+        });
+    };
+    feedFollower_->setPace(std::chrono::milliseconds(0));
+    leader_ = std::make_shared<LeaderRuntime>(std::move(context), epoch, feed_);
+    leader_->start();
+}
+
+auto Instance::stopLeading() -> void
+{
+    feedFollower_->setPace(FollowerPace);
+    if (leader_) {
+        leader_->stop();
+        // Callbacks on the way still hold it; they find it stopped.
+        leader_.reset();
+    }
+}
+
+auto Instance::drain(std::function<void()> done) -> void
+{
+    if (draining_) {
+        return;
+    }
+    draining_ = true;
+    LogLine(LogSeverity::Info, "draining").with("open_calls", openCalls_.load()).with("leads", leader_ != nullptr);
+    election_->retire();
+    if (leader_) {
+        leader_->resign([this] {
+            asio::post(control_, [this] {
+                election_->abandon();
+            });
+        });
+    }
+    const auto deadline = BootClock::now() + settings_.grace_ - EndReserve;
+    schedule(std::min(DrainNotice, settings_.grace_ / 2), [this, deadline, done = std::move(done)] {
+        finishWhenIdle(deadline, done);
+    });
+}
+
+auto Instance::finishWhenIdle(BootTime deadline, const std::function<void()> &done) -> void
+{
+    constexpr std::chrono::milliseconds PollInterval{50};
+    if (openCalls_ > 0 && BootClock::now() < deadline) {
+        schedule(PollInterval, [this, deadline, done] {
+            finishWhenIdle(deadline, done);
+        });
+        return;
+    }
+    LogLine(LogSeverity::Info, "instance_stopped").with("instance", settings_.name_).with("open_calls", openCalls_.load());
+    done();
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/node/instance.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "marjoramfold/http/httpclient.h"
+#include "marjoramfold/http/httpserver.h"
+#include "marjoramfold/node/election.h"
+#include "marjoramfold/node/frontdoor.h"
+#include "marjoramfold/node/jobfeed.h"
+#include "marjoramfold/node/leaderruntime.h"
+#include "marjoramfold/node/nodesettings.h"
+#include "marjoramfold/node/operatorview.h"
+#include "marjoramfold/node/platformbinding.h"
+#include "marjoramfold/observability/metrics.h"
+
+#include <asio/io_context.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace Marjoramfold
+{
+/// One instance: answers callers on a traffic thread, and follows, decides and leads on the control thread.
+class Instance
+{
+public:
+    /// Makes the platform's binding from the settings that are in force at each call.
+    using MakeBinding = std::function<PlatformBinding(HttpClient &store, HttpClient &workers, std::function<std::string()> storeAddress, std::chrono::milliseconds orderTimeout)>;
+
+    Instance(asio::io_context &control, NodeSettings settings, const MakeBinding &makeBinding);
+    ~Instance();
+    Instance(const Instance &) = delete;
+    auto operator=(const Instance &) -> Instance & = delete;
+
+    /// Listens and begins to follow. Throws std::exception when an address cannot be bound.
+    auto start() -> void;
+
+    /// Takes over settings that may change while the process runs.
+    auto reload(const NodeSettings &settings) -> void;
+
+    /// Hands leadership over, answers what has been received, and ends; `done` runs on the control thread.
+    auto drain(std::function<void()> done) -> void;
+
+private:
+    auto schedule(std::chrono::milliseconds pause, std::function<void()> step) -> void;
+    auto handleCaller(HttpServerRequest request, HttpResponder respond) -> void;
+    auto handleReadiness(const HttpServerRequest &request, const HttpResponder &respond) -> void;
+    auto onFeedRecords(const std::vector<StoredRecord> &records, bool loaded) -> void;
+    auto lead(std::uint64_t epoch) -> void;
+    auto stopLeading() -> void;
+    auto checkPeriodically() -> void;
+    auto finishWhenIdle(BootTime deadline, const std::function<void()> &done) -> void;
+    [[nodiscard]] auto makeFollower() -> std::shared_ptr<StreamFollower>;
+    [[nodiscard]] auto makeAppender() -> std::shared_ptr<OrderedAppender>;
+    [[nodiscard]] auto makeElection() -> std::unique_ptr<Election>;
+
+    asio::io_context &control_;
+    NodeSettings settings_;
+    std::uint64_t process_;
+    asio::io_context traffic_{1};
+    MetricsRegistry metrics_;
+    HttpClient storeClient_;
+    HttpClient workerClient_;
+    PlatformBinding binding_;
+    JobFeed feed_;
+    std::shared_ptr<StreamFollower> feedFollower_;
+    std::shared_ptr<OrderedAppender> appender_;
+    std::unique_ptr<OperatorView> view_;
+    std::unique_ptr<FrontDoor> frontDoor_;
+    std::unique_ptr<Election> election_;
+    std::shared_ptr<LeaderRuntime> leader_;
+    std::unique_ptr<HttpServer> callers_;
+    std::unique_ptr<HttpServer> readiness_;
+    std::unique_ptr<HttpServer> metricsServer_;
+    std::thread trafficThread_;
+    std::atomic<int> openCalls_{0};
+    std::atomic<bool> ready_{false};
+    std::atomic<bool> draining_{false};
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/node/jobfeed.cpp
@@ -0,0 +1,296 @@
+#include "marjoramfold/node/jobfeed.h"
+
+#include "marjoramfold/dispatch/jobstate.h"
+#include "marjoramfold/observability/logline.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+
+#include <algorithm>
+#include <sstream>
+#include <string_view>
+#include <utility>
+
+namespace Marjoramfold
+{
+namespace
+{
+constexpr std::string_view JobPrefix = "j/";
+constexpr std::string_view CancelPrefix = "c/";
+constexpr std::string_view PhasePrefix = "p/";
+constexpr std::string_view LeaderPrefix = "l/";
+
+template<typename Archive>
+auto archiveRecord(Archive &archive, LeadershipRecord &record) -> void
+{
+    archive(record.act_, record.epoch_, record.instance_, record.process_);
+}
+
+auto decodeLeadership(const std::string &value) -> std::optional<LeadershipRecord>
+{
+    try {
+        std::istringstream stream(value);
+        cereal::PortableBinaryInputArchive archive(stream);
+        LeadershipRecord record;
+        archiveRecord(archive, record);
+        return record;
+    } catch (const std::exception &exception) {
+        LogLine(LogSeverity::Error, "leadership_record_unreadable").with("reason", exception.what());
+        return std::nullopt;
+    }
+}
+
+auto key(std::string_view prefix, const std::string &id) -> std::string
+{
+    return std::string(prefix) + id;
+}
+} // namespace
+
+auto feedStream() -> StreamId
+{
+    return {"keyed.marjoramfold.feed", 0};
+}
+
+auto progressStream() -> StreamId
+{
+    return {"keyed.marjoramfold.progress", 0};
+}
+
+auto FeedJob::shownPhase() const -> JobPhase
+{
+    if (cancelled_ && (!isFinalPhase(phase_) || phaseOffset_ > cancelOffset_)) {
+        return JobPhase::Cancelled;
+    }
+    return phase_;
+}
+
+auto JobFeed::setListeners(FeedListeners listeners) -> void
+{
+    listeners_ = std::move(listeners);
+}
+
+auto JobFeed::beginReload() -> void
+{
+    reloading_ = true;
+    reloaded_.clear();
+}
+
+auto JobFeed::endReload() -> void
+{
+    if (!reloading_) {
+        return;
+    }
+    reloading_ = false;
+    std::vector<JobId> gone;
+    for (const auto &[id, job] : jobs_) {
+        if (!reloaded_.contains(id)) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto &id : gone) {
+        applySubmission(id, std::nullopt);
+    }
+    reloaded_.clear();
+    orphans_.clear();
+}
+
+auto JobFeed::apply(std::vector<StoredRecord> records) -> void
+{
+    std::sort(records.begin(), records.end(), [](const StoredRecord &left, const StoredRecord &right) {
+        return left.offset_ < right.offset_;
+    });
+    const auto before = leader_;
+    for (const auto &record : records) {
+        applyOne(record);
+    }
+    if (listeners_.leaderChanged_ && (before.epoch_ != leader_.epoch_ || before.resigned_ != leader_.resigned_)) {
+        listeners_.leaderChanged_();
+    }
+}
+
+auto JobFeed::applyOne(const StoredRecord &stored) -> void
+{
+    const auto &record = stored.record_;
+    if (record.key_.size() < JobPrefix.size()) {
+        return;
+    }
+    const auto prefix = std::string_view(record.key_).substr(0, JobPrefix.size());
+    const JobId id(record.key_.substr(JobPrefix.size()));
+    if (prefix == JobPrefix) {
+        applySubmission(id, record.value_);
+    } else if (prefix == CancelPrefix) {
+        applyCancel(id, stored.offset_, record.value_.has_value());
+    } else if (prefix == PhasePrefix) {
+        applyPhase(id, stored.offset_, record.value_);
+    } else if (prefix == LeaderPrefix && record.value_) {
+        applyLeadership(stored.offset_, *record.value_);
+    }
+}
+
+auto JobFeed::applySubmission(const JobId &id, const std::optional<std::string> &value) -> void
+{
+    if (!value) {
+        if (const auto found = jobs_.find(id); found != jobs_.end()) {
+            if (found->second.shownPhase() == JobPhase::Queued) {
+                --waiting_[found->second.submission_.queue_];
+            }
+            jobs_.erase(found);
+            if (listeners_.forgotten_) {
+                listeners_.forgotten_(id);
+            }
+        }
+        return;
+    }
+    reloaded_[id] = true;
+    if (jobs_.contains(id)) {
+        // A repeat of a submission; the first one stands.
+        return;
+    }
+    auto submission = decodeSubmission(*value);
+    if (!isOk(submission)) {
+        LogLine(LogSeverity::Error, "submission_unreadable").job(id.value()).with("reason", errorOf(submission).message_);
+        return;
+    }
+    FeedJob job;
+    if (const auto orphan = orphans_.find(id); orphan != orphans_.end()) {
+        job = orphan->second;
+        orphans_.erase(orphan);
+    }
+    job.submission_ = valueOf(std::move(submission));
+    job.occurrences_ = std::max(1U, job.submission_.plan_.occurrences_);
+    auto &slot = jobs_[id] = std::move(job);
+    if (slot.shownPhase() == JobPhase::Queued) {
+        ++waiting_[slot.submission_.queue_];
+    }
+    if (listeners_.submitted_) {
+        listeners_.submitted_(slot.submission_);
+    }
+    shrinkIfFinal(slot);
+}
+
+auto JobFeed::shrinkIfFinal(FeedJob &job) -> void
+{
+    // The plan of a job that has ended is of no more use.
+    if (isFinalPhase(job.phase_)) {
+        job.submission_.plan_ = JobPlan();
+    }
+}
+
+auto JobFeed::applyCancel(const JobId &id, std::uint64_t offset, bool set) -> void
+{
+    const auto found = jobs_.find(id);
+    if (!set) {
+        return;
+    }
+    auto &job = found == jobs_.end() ? orphans_[id] : found->second;
+    if (job.cancelled_) {
+        return;
+    }
+    const auto waited = found != jobs_.end() && job.shownPhase() == JobPhase::Queued;
+    job.cancelled_ = true;
+    job.cancelOffset_ = offset;
+    if (waited) {
+        --waiting_[job.submission_.queue_];
+    }
+    if (found != jobs_.end() && listeners_.cancelled_) {
+        listeners_.cancelled_(id);
+    }
+}
+
+auto JobFeed::applyPhase(const JobId &id, std::uint64_t offset, const std::optional<std::string> &value) -> void
+{
+    const auto found = jobs_.find(id);
+    if (!value || value->size() != 1) {
+        return;
+    }
+    auto &job = found == jobs_.end() ? orphans_[id] : found->second;
+    if (isFinalPhase(job.phase_)) {
+        return;
+    }
+    const auto waited = found != jobs_.end() && job.shownPhase() == JobPhase::Queued;
+    job.phase_ = static_cast<JobPhase>(value->front());
+    job.phaseOffset_ = offset;
+    if (waited && job.shownPhase() != JobPhase::Queued) {
+        --waiting_[job.submission_.queue_];
+    }
+    shrinkIfFinal(job);
+}
+
+auto JobFeed::applyLeadership(std::uint64_t offset, const std::string &value) -> void
+{
+    const auto record = decodeLeadership(value);
+    if (!record) {
+        return;
+    }
+    const auto now = BootClock::now();
+    switch (record->act_) {
+    case LeadershipAct::Claim:
+        // In a load some earlier claims are missing; one that names a later epoch than is known followed one of those.
+        if (record->epoch_ >= leader_.epoch_ && offset + 1 > leader_.epoch_) {
+            leader_ = {offset + 1, record->instance_, record->process_, false, now};
+        }
+        break;
+    case LeadershipAct::Renew:
+        if (record->epoch_ >= leader_.epoch_) {
+            leader_ = {record->epoch_, record->instance_, record->process_, leader_.resigned_ && record->epoch_ == leader_.epoch_, now};
+        }
+        break;
+    case LeadershipAct::Resign:
+        if (record->epoch_ >= leader_.epoch_) {
+            leader_ = {record->epoch_, record->instance_, record->process_, true, now};
+        }
+        break;
+    }
+}
+
+auto JobFeed::find(const JobId &id) const -> const FeedJob *
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+auto JobFeed::jobs() const -> const std::unordered_map<JobId, FeedJob> &
+{
+    return jobs_;
+}
+
+auto JobFeed::leader() const -> const LeaderView &
+{
+    return leader_;
+}
+
+auto JobFeed::waitingOf(const std::string &queue) const -> std::size_t
+{
+    const auto found = waiting_.find(queue);
+    return found == waiting_.end() ? 0 : found->second;
+}
+
+auto JobFeed::submissionRecord(const Submission &submission) -> KeyedRecord
+{
+    return {key(JobPrefix, submission.id_.value()), encodeSubmission(submission)};
+}
+
+auto JobFeed::cancelRecord(const JobId &id) -> KeyedRecord
+{
+    return {key(CancelPrefix, id.value()), "1"};
+}
+
+auto JobFeed::phaseRecord(const JobId &id, JobPhase phase) -> KeyedRecord
+{
+    return {key(PhasePrefix, id.value()), std::string(1, static_cast<char>(phase))};
+}
+
+auto JobFeed::leadershipRecord(const LeadershipRecord &record) -> KeyedRecord
+{
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive(stream);
+    auto copy = record;
+    archiveRecord(archive, copy);
+    return {key(LeaderPrefix, record.instance_), std::move(stream).str()};
+}
+
+auto JobFeed::dropRecords(const JobId &id) -> std::vector<KeyedRecord>
+{
+    return {{key(JobPrefix, id.value()), std::nullopt}, {key(CancelPrefix, id.value()), std::nullopt}, {key(PhasePrefix, id.value()), std::nullopt}};
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/node/jobfeed.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "marjoramfold/core/clock.h"
+#include "marjoramfold/fleet/jobplan.h"
+#include "marjoramfold/store/streamstore.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// Stream of submissions, cancellations, phases and leadership that every instance follows.
+[[nodiscard]] auto feedStream() -> StreamId;
+
+/// Stream of progress records that only the leader writes.
+[[nodiscard]] auto progressStream() -> StreamId;
+
+/// What an instance knows of a job.
+struct FeedJob {
+    Submission submission_;
+    std::uint32_t occurrences_ = 1;
+    JobPhase phase_ = JobPhase::Queued;
+    std::uint64_t phaseOffset_ = 0;
+    bool cancelled_ = false;
+    std::uint64_t cancelOffset_ = 0;
+
+    /// The state to show. A job that was cancelled before it was shown as ended is cancelled for good.
+    [[nodiscard]] auto shownPhase() const -> JobPhase;
+};
+
+/// What a leadership record says.
+enum class LeadershipAct : std::uint8_t {
+    /// Wants to succeed the leader of `epoch_`.
+    Claim,
+    /// Leads with `epoch_` and is alive.
+    Renew,
+    /// Led with `epoch_` and has stopped.
+    Resign,
+};
+
+/// A leadership record.
+struct LeadershipRecord {
+    LeadershipAct act_ = LeadershipAct::Claim;
+    std::uint64_t epoch_ = 0;
+    /// Instance and a random number of its process, so that a restarted process knows that its former one is gone.
+    std::string instance_;
+    std::uint64_t process_ = 0;
+};
+
+/// The leader as the records in their order say.
+struct LeaderView {
+    /// Fencing token: the offset of the claim plus one; 0 while nobody has led.
+    std::uint64_t epoch_ = 0;
+    std::string instance_;
+    std::uint64_t process_ = 0;
+    bool resigned_ = false;
+    /// When the newest record of the leader arrived here.
+    BootTime seenAt_{};
+};
+
+/// Listeners of a feed.
+struct FeedListeners {
+    std::function<void(const Submission &)> submitted_;
+    std::function<void(const JobId &)> cancelled_;
+    std::function<void(const JobId &)> forgotten_;
+    std::function<void()> leaderChanged_;
+};
+
+/// Applies the records of the feed in their order. Every instance comes to the same view, since the store orders the records.
+///
+/// A claim succeeds when it names the epoch in force before it; so one of several claims wins without any further agreement.
+class JobFeed
+{
+public:
+    auto setListeners(FeedListeners listeners) -> void;
+
+    /// Applies records as a StreamFollower delivers them; records of an initial load are applied in the order of their offsets.
+    auto apply(std::vector<StoredRecord> records) -> void;
+
+    /// Prepares for an initial load after a gap: what it does not bring is gone.
+    auto beginReload() -> void;
+
+    /// Drops jobs that the load did not bring.
+    auto endReload() -> void;
+
+    [[nodiscard]] auto find(const JobId &id) const -> const FeedJob *;
+    [[nodiscard]] auto jobs() const -> const std::unordered_map<JobId, FeedJob> &;
+    [[nodiscard]] auto leader() const -> const LeaderView &;
+
+    /// Accepted jobs of a queue for which no task has started.
+    [[nodiscard]] auto waitingOf(const std::string &queue) const -> std::size_t;
+
+    // Records that instances append.
+    [[nodiscard]] static auto submissionRecord(const Submission &submission) -> KeyedRecord;
+    [[nodiscard]] static auto cancelRecord(const JobId &id) -> KeyedRecord;
+    [[nodiscard]] static auto phaseRecord(const JobId &id, JobPhase phase) -> KeyedRecord;
+    [[nodiscard]] static auto leadershipRecord(const LeadershipRecord &record) -> KeyedRecord;
+
+    /// Records that drop everything of a job.
+    [[nodiscard]] static auto dropRecords(const JobId &id) -> std::vector<KeyedRecord>;
+
+private:
+    auto applyOne(const StoredRecord &record) -> void;
+    auto applySubmission(const JobId &id, const std::optional<std::string> &value) -> void;
+    auto applyCancel(const JobId &id, std::uint64_t offset, bool set) -> void;
+    auto applyPhase(const JobId &id, std::uint64_t offset, const std::optional<std::string> &value) -> void;
+    auto applyLeadership(std::uint64_t offset, const std::string &value) -> void;
+    auto shrinkIfFinal(FeedJob &job) -> void;
+
+    FeedListeners listeners_;
+    std::unordered_map<JobId, FeedJob> jobs_;
+    /// Cancellations and phases that arrived before their submission in a load by pages.
+    std::unordered_map<JobId, FeedJob> orphans_;
+    std::map<std::string, std::size_t> waiting_;
+    std::unordered_map<JobId, bool> reloaded_;
+    bool reloading_ = false;
+    LeaderView leader_;
+};
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/node/nodesettings.cpp
@@ -0,0 +1,130 @@
+#include "marjoramfold/node/nodesettings.h"
+
+#include <toml++/toml.h>
+
+#include <fstream>
+#include <limits>
+#include <sstream>
+
+namespace Marjoramfold
+{
+namespace
+{
+/// No bound of the platform is longer than a day.
+constexpr double MostSeconds = 86'400;
+constexpr double MillisecondsPerSecond = 1000;
+
+/// Reads keys of a table and throws Error for the first fault.
+class TableReader
+{
+public:
+    TableReader(const toml::table &root, std::string name)
+        : name_(std::move(name))
+    {
+        const auto *table = root[name_].as_table();
+        if (table == nullptr) {
+            throw Error{ErrorKind::InvalidSettings, "table [" + name_ + "] is missing", std::nullopt};
+        }
+        table_ = table;
+    }
+
+    [[nodiscard]] auto text(const char *key) const -> std::string
+    {
+        const auto value = (*table_)[key].value<std::string>();
+        if (!value || value->empty()) {
+            fail(key, "must be a text");
+        }
+        return *value;
+    }
+
+    [[nodiscard]] auto address(const char *key) const -> std::string
+    {
+        const auto value = text(key);
+        const auto colon = value.rfind(':');
+        if (colon == std::string::npos || colon == 0 || colon + 1 == value.size()) {
+            fail(key, "must be HOST:PORT");
+        }
+        return value;
+    }
+
+    [[nodiscard]] auto number(const char *key, double least, double most) const -> double
+    {
+        const auto value = (*table_)[key].value<double>();
+        if (!value || *value < least || *value > most) {
+            fail(key, "must be a number from " + std::to_string(least) + " to " + std::to_string(most));
+        }
+        return *value;
+    }
+
+    /// A time given as a number of milliseconds.
+    [[nodiscard]] auto milliseconds(const char *key) const -> std::chrono::milliseconds
+    {
+        return std::chrono::milliseconds(static_cast<std::int64_t>(number(key, 0, MostSeconds * MillisecondsPerSecond)));
+    }
+
+    /// A time given as a number of seconds, whole or not.
+    [[nodiscard]] auto seconds(const char *key) const -> std::chrono::milliseconds
+    {
+        return std::chrono::milliseconds(static_cast<std::int64_t>(number(key, 0, MostSeconds) * MillisecondsPerSecond));
+    }
+
+private:
+    [[noreturn]] auto fail(const std::string &key, const std::string &reason) const -> void
+    {
+        throw Error{ErrorKind::InvalidSettings, name_ + "." + key + " " + reason, std::nullopt};
+    }
+
+    std::string name_;
+    const toml::table *table_ = nullptr;
+};
+
+auto readAll(const toml::table &root) -> NodeSettings
+{
+    constexpr double MostCores = 1024;
+    constexpr double MostFactor = 1000;
+    NodeSettings settings;
+    const TableReader instance(root, "instance");
+    settings.name_ = instance.text("name");
+    settings.zone_ = instance.text("availability_zone");
+    settings.coreShare_ = instance.number("core_share", 0, MostCores);
+    const TableReader listen(root, "listen");
+    settings.callerAddress_ = listen.address("callers");
+    settings.readinessAddress_ = listen.address("readiness");
+    settings.metricsAddress_ = listen.address("metrics");
+    const TableReader store(root, "store");
+    settings.storeAddress_ = store.address("address");
+    const TableReader bounds(root, "bounds");
+    settings.revokeBound_ = bounds.milliseconds("revoke_ms");
+    settings.grace_ = bounds.seconds("grace_s");
+    auto &dispatch = settings.dispatch_;
+    dispatch.longestLease_ = bounds.milliseconds("longest_lease_ms");
+    dispatch.stopTime_ = bounds.milliseconds("stop_ms");
+    dispatch.farFactor_ = bounds.number("far_factor", 1, MostFactor);
+    return settings;
+}
+} // namespace
+
+auto parseNodeSettings(const std::string &text) -> Result<NodeSettings>
+{
+    try {
+        return readAll(toml::parse(text));
+    } catch (const toml::parse_error &error) {
+        std::ostringstream where;
+        where << "line " << error.source().begin.line << ": " << error.description();
+        return Error{ErrorKind::InvalidSettings, where.str(), std::nullopt};
+    } catch (const Error &error) {
+        return error;
+    }
+}
+
+auto loadNodeSettings(const std::string &path) -> Result<NodeSettings>
+{
+    std::ifstream file(path);
+    if (!file) {
+        return Error{ErrorKind::InvalidSettings, path + " cannot be read", std::nullopt};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseNodeSettings(text.str());
+}
+} // namespace Marjoramfold
--- /dev/null
+++ b/marjoramfold/node/operatorview.cpp
@@ -0,0 +1,84 @@
+#include "marjoramfold/node/operatorview.h"
+
+#include "marjoramfold/observability/logline.h"
+
+#include <utility>
+
+namespace Marjoramfold
+{
+OperatorView::OperatorView(const PlatformBinding &binding, StreamFollower::Schedule schedule, std::function<void()> onChanged)
+    : decode_(binding.decodeOperatorRecord_)
+    , onChanged_(std::move(onChanged))
+{
+    FollowerOptions options;
+    options.stream_ = binding.operatorStream_;
+    follower_ = std::make_shared<StreamFollower>(
+        binding.store_,
+        std::move(schedule),
+        options,
+        [this](const std::vector<StoredRecord> &records, bool loaded) {
+            onRecords(records, loaded);
+        },
+        [this] {
+            loading_ = true;
+            loadedZones_.clear();
+        });
+}
+
+auto OperatorView::start() -> void
+{
+    follower_->start();
+}
+
+auto OperatorView::directory() const -> const Directory &
+{
+    return directory_;
+}
+
+auto OperatorView::evacuatedZones() const -> const std::unordered_set<std::string> &
+{
+    return evacuatedZones_;
+}
+
+auto OperatorView::currentAsOf() const -> BootTime
+{
+    return follower_->currentAsOf();
+}
+
+auto OperatorView::onRecords(const std::vector<StoredRecord> &records, bool loaded) -> void
+{
+    for (const auto &stored : records) {
+        auto record = decode_(stored.record_);
+        if (!isOk(record)) {
+            LogLine(LogSeverity::Error, "operator_record_unreadable")
+                .with("key", stored.record_.key_)
+                .with("offset", stored.offset_)
+                .with("reason", errorOf(record).message_);
+            continue;
+        }
+        if (auto *published = std::get_if<ConfigurationPublished>(&std::get<OperatorRecord>(record))) {
+            // A configuration never goes back: pages of a load may be older than what was followed.
+            if (published->directory_.version() > directory_.version()) {
+                LogLine(LogSeverity::Info, "configuration_in_force")
+                    .with("version", published->directory_.version())
+                    .with("before", directory_.version())
+                    .with("offset", stored.offset_);
+                directory_ = std::move(published->directory_);
+            }
+        } else if (const auto *zone = std::get_if<ZoneChanged>(&std::get<OperatorRecord>(record))) {
+            LogLine(LogSeverity::Info, zone->takenOut_ ? "zone_taken_out" : "zone_taken_back").with("zone", zone->zone_).with("offset", stored.offset_);
+            if (zone->takenOut_) {
+                evacuatedZones_.insert(zone->zone_);
+                loadedZones_.insert(zone->zone_);
+            } else {
+                evacuatedZones_.erase(zone->zone_);
+            }
+        }
+    }
+    if (loaded && loading_) {
+        loading_ = false;
+        evacuatedZones_ = loadedZones_;
+    }
+    onChanged_();
+}
+} // namespace Marjoramfold
--- a/marjoramfold/observability/logline.cpp
+++ b/marjoramfold/observability/logline.cpp
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Marjoramfold
 {
@@ -11,6 +12,13 @@
 /// Longest value in bytes; a longer one, for example a request body, is cut.
 constexpr std::size_t MaxValueBytes = 1'024;
 
+/// Where lines go; glog when empty.
+auto logOutput() -> LogOutput &
+{
+    static LogOutput output;
+    return output;
+}
+
 auto isPlain(char c) -> bool
 {
     const auto byte = static_cast<unsigned char>(c);
@@ -70,6 +78,11 @@
     return quoted;
 }
 
+auto setLogOutput(LogOutput output) -> void
+{
+    logOutput() = std::move(output);
+}
+
 LogLine::LogLine(LogSeverity severity, std::string_view event, const char *file, int line)
     : severity_(severity)
     , event_(event)
@@ -80,6 +93,10 @@
 
 LogLine::~LogLine()
 {
+    if (logOutput()) {
+        logOutput()(severity_, event_, text());
+        return;
+    }
     google::LogMessage(file_, line_, toGlog(severity_)).stream() << text();
 }
 
--- a/marjoramfold/observability/logline.h
+++ b/marjoramfold/observability/logline.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -14,6 +15,12 @@
     Error,
 };
 
+/// Takes a finished line and its event. Called by any thread.
+using LogOutput = std::function<void(LogSeverity, const std::string &event, const std::string &line)>;
+
+/// Sends all lines to an output instead of glog; an empty one restores glog. Not while lines are written.
+auto setLogOutput(LogOutput output) -> void;
+
 /// A log line `event key=value ...`, written through glog when it goes out of scope. Ids come first, whatever the order of the calls.
 ///
 /// Values are quoted when they are empty or hold a space, '=', '"', '\' or a control character. Inside quotes, '"' and '\' are
--- /dev/null
+++ b/marjoramfold/store/orderedappender.cpp
@@ -0,0 +1,185 @@
+#include "marjoramfold/store/orderedappender.h"
+
+#include "marjoramfold/observability/logline.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Marjoramfold
+{
+namespace
+{
+/// Length fields of a record in an append body, in bytes, rounded up.
+constexpr std::size_t RecordOverheadBytes = 8;
+
+auto bytesOf(const std::vector<KeyedRecord> &records) -> std::size_t
+{
+    std::size_t bytes = 0;
+    for (const auto &record : records) {
+        bytes += RecordOverheadBytes + record.key_.size() + (record.value_ ? record.value_->size() : 0);
+    }
+    return bytes;
+}
+} // namespace
+
+OrderedAppender::OrderedAppender(StreamStore store, Schedule schedule, AppenderOptions options)
+    : store_(std::move(store))
+    , schedule_(std::move(schedule))
+    , options_(std::move(options))
+{
+}
+
+auto OrderedAppender::write(std::vector<KeyedRecord> records, Callback callback) -> void
+{
+    writeUntil(std::move(records), BootTime::max(), std::move(callback));
+}
+
+auto OrderedAppender::writeUntil(std::vector<KeyedRecord> records, BootTime giveUp, Callback callback) -> void
+{
+    waiting_.push_back({std::move(records), std::move(callback), giveUp});
+    sendNext();
+}
+
+auto OrderedAppender::announceEpoch(Callback callback) -> void
+{
+    write({}, std::move(callback));
+}
+
+auto OrderedAppender::stop() -> void
+{
+    stopped_ = true;
+    waiting_.clear();
+    batch_.clear();
+}
+
+auto OrderedAppender::backlog() const -> std::size_t
+{
+    return waiting_.size() + batch_.size();
+}
+
+auto OrderedAppender::currentAge(BootTime now) const -> std::chrono::milliseconds
+{
+    return sending_ ? std::chrono::duration_cast<std::chrono::milliseconds>(now - batchSentAt_) : std::chrono::milliseconds(0);
+}
+
+auto OrderedAppender::dropExpired() -> void
+{
+    const auto now = BootClock::now();
+    while (!waiting_.empty() && waiting_.front().giveUp_ <= now) {
+        auto expired = std::move(waiting_.front());
+        waiting_.pop_front();
+        if (expired.callback_) {
+            expired.callback_(WriteRefused{"the append was not sent in time"});
+        }
+    }
+}
+
+auto OrderedAppender::sendNext() -> void
+{
+    dropExpired();
+    if (sending_ || stopped_ || waiting_.empty()) {
+        return;
+    }
+    // An announcement of the epoch stands alone: it has no records and takes no sequence number.
+    const auto announces = waiting_.front().records_.empty();
+    std::size_t bytes = 0;
+    do {
+        bytes += bytesOf(waiting_.front().records_);
+        batch_.push_back(std::move(waiting_.front()));
+        waiting_.pop_front();
+    } while (!announces && !waiting_.empty() && !waiting_.front().records_.empty()
+             && bytes + bytesOf(waiting_.front().records_) <= options_.maxBatchBytes_);
+    sending_ = true;
+    maybeStored_ = false;
+    batchSentAt_ = BootClock::now();
+    sendBatch();
+}
+
+auto OrderedAppender::sendBatch() -> void
+{
+    AppendRequest request{options_.stream_, {}, {options_.producer_, options_.epoch_, sequence_}, options_.answerTimeout_, freshConnection_};
+    for (const auto &pending : batch_) {
+        request.records_.insert(request.records_.end(), pending.records_.begin(), pending.records_.end());
+    }
+    store_.append_(std::move(request), [weak = weak_from_this()](const AppendResult &result) {
+        if (const auto self = weak.lock(); self && !self->stopped_) {
+            self->onResult(result);
+        }
+    });
+}
+
+auto OrderedAppender::onResult(const AppendResult &result) -> void
+{
+    if (const auto *appended = std::get_if<Appended>(&result)) {
+        freshConnection_ = false;
+        finish(WriteStored{appended->offset_});
+    } else if (std::holds_alternative<AppendFenced>(result)) {
+        finish(WriteFenced{});
+    } else if (const auto *outOfSequence = std::get_if<AppendOutOfSequence>(&result)) {
+        // The store is past this number: an earlier try was carried out, and its answer is no longer kept.
+        if (maybeStored_ && outOfSequence->expected_ == sequence_ + 1) {
+            finish(WriteStored{});
+            return;
+        }
+        LogLine(LogSeverity::Warning, "append_out_of_sequence")
+            .with("topic", options_.stream_.topic_)
+            .with("sent", sequence_)
+            .with("expected", outOfSequence->expected_);
+        sequence_ = outOfSequence->expected_;
+        retry(false);
+    } else if (const auto *refused = std::get_if<AppendRefused>(&result)) {
+        if (options_.refusals_ == RefusalPolicy::Report && !maybeStored_) {
+            finish(WriteRefused{refused->reason_});
+        } else {
+            retry(freshConnection_);
+        }
+    } else {
+        maybeStored_ = true;
+        LogLine(LogSeverity::Warning, "append_unanswered")
+            .with("topic", options_.stream_.topic_)
+            .with("sequence", sequence_)
+            .with("reason", std::get<AppendUnknown>(result).reason_);
+        retry(true);
+    }
+}
+
+auto OrderedAppender::finish(const WriteResult &result) -> void
+{
+    auto batch = std::move(batch_);
+    batch_.clear();
+    sending_ = false;
+    const auto announced = batch.size() == 1 && batch.front().records_.empty();
+    if (std::holds_alternative<WriteStored>(result) && !announced) {
+        ++sequence_;
+    }
+    const auto self = shared_from_this();
+    for (auto &pending : batch) {
+        if (pending.callback_) {
+            pending.callback_(result);
+        }
+    }
+    if (std::holds_alternative<WriteFenced>(result)) {
+        // Everything behind it is refused as well.
+        auto waiting = std::move(waiting_);
+        waiting_.clear();
+        for (auto &pending : waiting) {
+            if (pending.callback_) {
+                pending.callback_(WriteFenced{});
+            }
+        }
+        stopped_ = true;
+        return;
+    }
+    sendNext();
+}
+
+auto OrderedAppender::retry(bool freshConnection) -> void
+{
+    freshConnection_ = freshConnection;
+    schedule_(options_.retryPause_, [weak = weak_from_this()] {
+        if (const auto self = weak.lock(); self && !self->stopped_) {
+            self->sendBatch();
+        }
+    });
+}
+} // namespace Marjoramfold
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -8,7 +8,7 @@
     librestinio-dev libasio-dev libfmt-dev libhttp-parser-dev
     libcurl4-openssl-dev libssl-dev
     libcereal-dev prometheus-cpp-dev libtomlplusplus-dev nlohmann-json3-dev
-    libgflags-dev libgoogle-glog-dev
+    libgflags-dev libgoogle-glog-dev libspdlog-dev
     catch2 librapidcheck-dev
 )
 
