End runs on a copy of their key, and let no lease lapse before the first order

A run's key was a reference into the map that the run was erased from, so ends were reported under garbage names; and a worker without any order yet counted as lapsed at the first tick.

--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -197,6 +197,14 @@
     session->leaseUntil_ = std::max(session->leaseUntil_, until);
     const auto token = session->fencingToken_;
     const auto born = session->entry_.born_;
+    LogLine(LogSeverity::Info, "run_ordered")
+        .job(task.job_.value())
+        .with("task", toString(task))
+        .with("run", run)
+        .with("worker", worker.value())
+        .with("token", token)
+        .with("lease_until_ms", until.count())
+        .with("worker_clock_age_ms", milliseconds(BootClock::now() - session->clockAt_).count());
     calls_.start_({worker, session->entry_.address_, task, run, payload, checkpoint, token, until},
                   [this, alive = std::weak_ptr(alive_), worker, born, key, token](const OrderAnswer &answer) {
                       if (!alive.expired()) {
@@ -507,7 +515,7 @@
     }
 }
 
-auto WorkerSessions::endRun(WorkerSession &session, const RunKey &key, EndKind kind, const std::string &checkpoint, bool neverBegan, const std::string &reason) -> void
+auto WorkerSessions::endRun(WorkerSession &session, RunKey key, EndKind kind, const std::string &checkpoint, bool neverBegan, const std::string &reason) -> void
 {
     const auto found = session.runs_.find(key);
     if (found == session.runs_.end()) {
@@ -557,6 +565,10 @@
     const auto stretched = [this](std::chrono::milliseconds time) {
         return std::chrono::duration_cast<BootTime::duration>(time * (1.0 / (1.0 - options_.clockDrift_)));
     };
+    if (session.leaseUntil_.count() == 0 && !session.adopted_) {
+        // No order was given yet.
+        return false;
+    }
     if (!session.answered_ && session.adopted_) {
         // A former leader may have renewed the lease until it had to stop.
         return now > session.sessionStart_ + options_.renewWithoutStore_ + stretched(options_.longestLease_) + options_.leaseMargin_;
--- a/marjoramfold/dispatch/workersessions.h
+++ b/marjoramfold/dispatch/workersessions.h
@@ -127,7 +127,7 @@
     auto onListedEnds(WorkerSession &session, const WorkerReport &report) -> void;
     auto onRenewFailure(WorkerSession &session, const OrderAnswer &answer) -> void;
     auto sendStop(WorkerSession &session, const TaskRef &task, std::uint32_t run) -> void;
-    auto endRun(WorkerSession &session, const RunKey &key, EndKind kind, const std::string &checkpoint, bool neverBegan, const std::string &reason) -> void;
+    auto endRun(WorkerSession &session, RunKey key, EndKind kind, const std::string &checkpoint, bool neverBegan, const std::string &reason) -> void;
     auto endAllRuns(WorkerSession &session, EndKind kind, const std::string &reason) -> void;
     auto beginLife(WorkerSession &session, std::uint64_t born, const std::string &reason) -> void;
 
