Judge runs in doubt by the token of their order, and loaded leadership records by their evidence

A list asked for under a higher token than the order's is certain whatever the stage is. A load of the feed lacks claims that were replaced, and took a void claim for valid; renewals are now read as evidence first.

--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -18,7 +18,7 @@
     Recorded,
     /// The order was sent; no answer yet.
     Ordered,
-    /// The order may or may not have been carried out.
+    /// The order got no answer; it may have been carried out, or may be later.
     InDoubt,
     Running,
     /// A stop was sent.
@@ -39,6 +39,8 @@
     /// Run time that is expected at this place.
     std::chrono::milliseconds expected_{0};
     BootTime placedAt_{};
+    /// Token of the start order; a list asked for under a higher one shows for certain whether the order was carried out.
+    std::uint64_t orderToken_ = 0;
     /// When the worker's acceptance arrived; a list asked for earlier may lack the run.
     BootTime acceptedAt_{};
     BootTime progressAt_{};
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -197,6 +197,7 @@
     session->leaseUntil_ = std::max(session->leaseUntil_, until);
     const auto token = session->fencingToken_;
     const auto born = session->entry_.born_;
+    state.orderToken_ = token;
     LogLine(LogSeverity::Info, "run_ordered")
         .job(task.job_.value())
         .with("task", toString(task))
@@ -464,13 +465,13 @@
         const auto inList = std::any_of(report.running_.begin(), report.running_.end(), [&key](const ListedRun &listed) {
             return listed.run_ == key.second && listed.task_ == key.first;
         });
-        const auto newer = run.stage_ == RunStage::InDoubt ? token == session.fencingToken_ : run.acceptedAt_ != BootTime{} && run.acceptedAt_ <= sentAt;
-        if (!inList && newer && run.stage_ != RunStage::Recorded && run.stage_ != RunStage::Ordered) {
+        const auto newer = token > run.orderToken_ || (run.acceptedAt_ != BootTime{} && run.acceptedAt_ <= sentAt);
+        if (!inList && newer && run.stage_ != RunStage::Recorded) {
             missing.push_back(key);
         }
     }
     for (const auto &key : missing) {
-        const auto neverBegan = session.runs_[key].stage_ == RunStage::InDoubt;
+        const auto neverBegan = session.runs_[key].acceptedAt_ == BootTime{};
         endRun(session, key, EndKind::Lost, {}, neverBegan, "the worker does not list the run");
     }
 }
--- a/marjoramfold/node/jobfeed.cpp
+++ b/marjoramfold/node/jobfeed.cpp
@@ -73,6 +73,7 @@
 {
     reloading_ = true;
     reloaded_.clear();
+    loadedLeadership_.clear();
 }
 
 auto JobFeed::endReload() -> void
@@ -80,7 +81,10 @@
     if (!reloading_) {
         return;
     }
+    const auto before = leader_;
+    applyLoadedLeadership();
     reloading_ = false;
+    tellLeaderChange(before);
     std::vector<JobId> gone;
     for (const auto &[id, job] : jobs_) {
         if (!reloaded_.contains(id)) {
@@ -103,6 +107,11 @@
     for (const auto &record : records) {
         applyOne(record);
     }
+    tellLeaderChange(before);
+}
+
+auto JobFeed::tellLeaderChange(const LeaderView &before) -> void
+{
     if (listeners_.leaderChanged_ && (before.epoch_ != leader_.epoch_ || before.resigned_ != leader_.resigned_)) {
         listeners_.leaderChanged_();
     }
@@ -122,6 +131,8 @@
         applyCancel(id, stored.offset_, record.value_.has_value());
     } else if (prefix == PhasePrefix) {
         applyPhase(id, stored.offset_, record.value_);
+    } else if (prefix == LeaderPrefix && record.value_ && reloading_) {
+        loadedLeadership_.push_back(stored);
     } else if (prefix == LeaderPrefix && record.value_) {
         applyLeadership(stored.offset_, *record.value_);
     }
@@ -223,24 +234,35 @@
         return;
     }
     const auto now = BootClock::now();
-    switch (record->act_) {
-    case LeadershipAct::Claim:
-        // In a load some earlier claims are missing; one that names a later epoch than is known followed one of those.
-        if (record->epoch_ >= leader_.epoch_ && offset + 1 > leader_.epoch_) {
-            leader_ = {offset + 1, record->instance_, record->process_, false, now};
-        }
-        break;
-    case LeadershipAct::Renew:
+    if (record->act_ != LeadershipAct::Claim) {
+        // Only a leader whose claim was valid renews or resigns.
         if (record->epoch_ >= leader_.epoch_) {
-            leader_ = {record->epoch_, record->instance_, record->process_, leader_.resigned_ && record->epoch_ == leader_.epoch_, now};
+            leader_ = {record->epoch_, record->instance_, record->process_, record->act_ == LeadershipAct::Resign, now};
         }
-        break;
-    case LeadershipAct::Resign:
-        if (record->epoch_ >= leader_.epoch_) {
-            leader_ = {record->epoch_, record->instance_, record->process_, true, now};
+        return;
+    }
+    // A load lacks records that were replaced since: a claim that names a later epoch than is known followed one of those.
+    const auto succeeds = record->epoch_ == leader_.epoch_ || (reloading_ && record->epoch_ > leader_.epoch_);
+    if (succeeds && offset >= leader_.epoch_) {
+        leader_ = {offset + 1, record->instance_, record->process_, false, now};
+    }
+}
+
+auto JobFeed::applyLoadedLeadership() -> void
+{
+    // Renewals and resignations are evidence of valid claims, wherever they stand; claims are judged after them in their order.
+    std::stable_sort(loadedLeadership_.begin(), loadedLeadership_.end(), [](const StoredRecord &left, const StoredRecord &right) {
+        return left.offset_ < right.offset_;
+    });
+    for (const auto wantClaims : {false, true}) {
+        for (const auto &record : loadedLeadership_) {
+            const auto decoded = decodeLeadership(*record.record_.value_);
+            if (decoded && (decoded->act_ == LeadershipAct::Claim) == wantClaims) {
+                applyLeadership(record.offset_, *record.record_.value_);
+            }
         }
-        break;
     }
+    loadedLeadership_.clear();
 }
 
 auto JobFeed::find(const JobId &id) const -> const FeedJob *
--- a/marjoramfold/node/jobfeed.h
+++ b/marjoramfold/node/jobfeed.h
@@ -110,6 +110,8 @@
     auto applyCancel(const JobId &id, std::uint64_t offset, bool set) -> void;
     auto applyPhase(const JobId &id, std::uint64_t offset, const std::optional<std::string> &value) -> void;
     auto applyLeadership(std::uint64_t offset, const std::string &value) -> void;
+    auto applyLoadedLeadership() -> void;
+    auto tellLeaderChange(const LeaderView &before) -> void;
     auto shrinkIfFinal(FeedJob &job) -> void;
 
     FeedListeners listeners_;
@@ -118,6 +120,8 @@
     std::unordered_map<JobId, FeedJob> orphans_;
     std::map<std::string, std::size_t> waiting_;
     std::unordered_map<JobId, bool> reloaded_;
+    /// Leadership records of a load in progress.
+    std::vector<StoredRecord> loadedLeadership_;
     bool reloading_ = false;
     LeaderView leader_;
 };
