Let views of the leadership converge, and keep the steps of ended jobs for runs that go on

Every epoch that a record names is now evidence, and a fenced leader waits for its successor's renewals.

--- a/marjoramfold/dispatch/dispatchoptions.h
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -8,6 +8,8 @@
 struct DispatchOptions {
     /// Longest lease that a worker grants.
     std::chrono::milliseconds longestLease_{6000};
+    /// Lease that is asked for: long enough for a change of leader, short enough to start a lost worker's tasks again soon.
+    std::chrono::milliseconds lease_{6000};
     /// A worker's clock may run this much slower than ours.
     double clockDrift_ = 0.02;
     /// Added to computed ends of leases, for rounding and the time of an answer.
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -169,7 +169,7 @@
 
 auto WorkerSessions::leaseEnd(const WorkerSession &session, BootTime now) const -> std::chrono::milliseconds
 {
-    return session.clock_ + milliseconds(now - session.clockAt_) + options_.longestLease_;
+    return session.clock_ + milliseconds(now - session.clockAt_) + std::min(options_.lease_, options_.longestLease_);
 }
 
 auto WorkerSessions::noteClock(WorkerSession &session, std::chrono::milliseconds clock) -> void
@@ -380,17 +380,19 @@
     }
     session.renewing_ = true;
     const auto now = BootClock::now();
-    const auto until = leaseEnd(session, now);
+    // A worker that does not answer is only asked: each renewal on the way would put off the end of its lease.
+    const auto failing = session.failingSince_ != BootTime{};
+    const auto until = failing ? std::chrono::milliseconds(0) : leaseEnd(session, now);
     session.leaseUntil_ = std::max(session.leaseUntil_, until);
     // The first look at a run in doubt and the last acknowledgement must not wait for an end.
-    const auto urgent = session.runs_.empty() || !session.answered_ || session.failingSince_ != BootTime{} || session.endsSeen_ > session.endsRecorded_
+    const auto urgent = session.runs_.empty() || !session.answered_ || failing || session.endsSeen_ > session.endsRecorded_
         || std::any_of(session.runs_.begin(), session.runs_.end(), [](const auto &run) {
                             return run.second.stage_ == RunStage::InDoubt;
                         });
     const auto wait = urgent ? std::chrono::milliseconds(0) : options_.renewWait_;
     const auto id = session.entry_.id_;
     const auto token = session.fencingToken_;
-    calls_.renew_({id, session.entry_.address_, token, session.endsRecorded_, until, wait, session.failingSince_ != BootTime{}},
+    calls_.renew_({id, session.entry_.address_, token, session.endsRecorded_, until, wait, failing},
                   [this, alive = std::weak_ptr(alive_), id, born = session.entry_.born_, now, token](const OrderAnswer &answer) {
                       if (!alive.expired()) {
                           onRenewAnswer(id, born, now, token, answer);
@@ -575,7 +577,7 @@
         return now > session.sessionStart_ + options_.renewWithoutStore_ + stretched(options_.longestLease_) + options_.leaseMargin_;
     }
     const auto left = std::max(std::chrono::milliseconds(0), session.leaseUntil_ - session.clock_);
-    return now > session.clockAt_ + stretched(std::min(left, options_.longestLease_ + milliseconds(now - session.clockAt_))) + options_.leaseMargin_;
+    return now > session.clockAt_ + stretched(left) + options_.leaseMargin_;
 }
 
 auto WorkerSessions::tick(BootTime now) -> void
--- a/marjoramfold/fleet/workerentry.h
+++ b/marjoramfold/fleet/workerentry.h
@@ -103,6 +103,7 @@
     std::uint64_t fencingToken_ = 0;
     /// Ends up to this number are recorded and may be forgotten.
     std::uint64_t acknowledged_ = 0;
+    /// Time on the worker's clock; 0 only asks and leaves the lease as it is.
     std::chrono::milliseconds leaseUntil_{0};
     /// How long the worker may wait for an end before it answers.
     std::chrono::milliseconds wait_{0};
--- a/marjoramfold/node/election.cpp
+++ b/marjoramfold/node/election.cpp
@@ -45,9 +45,8 @@
 {
     const auto &leader = feed_.leader();
     const auto isFormerProcess = leader.instance_ == options_.instance_ && leader.process_ != options_.process_;
-    const auto isAbandoned = leader.process_ == options_.process_ && leader.epoch_ <= abandonedEpoch_;
-    return leader.epoch_ == 0 || leader.resigned_ || isFormerProcess || isAbandoned
-        || follower_->currentAsOf() - leader.seenAt_ > options_.silence_;
+    // An epoch that was given up here was given up to a higher one; its renewals must have the time to arrive.
+    return leader.epoch_ == 0 || leader.resigned_ || isFormerProcess || follower_->currentAsOf() - leader.seenAt_ > options_.silence_;
 }
 
 auto Election::check() -> void
--- a/marjoramfold/node/jobfeed.cpp
+++ b/marjoramfold/node/jobfeed.cpp
@@ -181,9 +181,9 @@
 
 auto JobFeed::shrinkIfFinal(FeedJob &job) -> void
 {
-    // The plan of a job that has ended is of no more use.
+    // Nothing of it starts any more. Its steps stay: a new leader needs them for runs that have not ended yet.
     if (isFinalPhase(job.phase_)) {
-        job.submission_.plan_ = JobPlan();
+        job.submission_.plan_.payload_.clear();
     }
 }
 
@@ -241,25 +241,32 @@
         }
         return;
     }
-    // A load lacks records that were replaced since: a claim that names a later epoch than is known followed one of those.
-    const auto succeeds = record->epoch_ == leader_.epoch_ || (reloading_ && record->epoch_ > leader_.epoch_);
-    if (succeeds && offset >= leader_.epoch_) {
+    // A claim that names a later epoch than is known here followed a record that this view lacks.
+    if (record->epoch_ >= leader_.epoch_ && offset >= leader_.epoch_) {
         leader_ = {offset + 1, record->instance_, record->process_, false, now};
     }
 }
 
 auto JobFeed::applyLoadedLeadership() -> void
 {
-    // Renewals and resignations are evidence of valid claims, wherever they stand; claims are judged after them in their order.
-    std::stable_sort(loadedLeadership_.begin(), loadedLeadership_.end(), [](const StoredRecord &left, const StoredRecord &right) {
+    // A load brings only the newest record of each instance, so the claims between them are missing. Every epoch that some
+    // record names was in force; a claim that names an earlier one than was in force when it was stored is void.
+    std::vector<std::uint64_t> epochs;
+    for (const auto &record : loadedLeadership_) {
+        if (const auto decoded = decodeLeadership(*record.record_.value_); decoded) {
+            epochs.push_back(decoded->epoch_);
+        }
+    }
+    std::sort(loadedLeadership_.begin(), loadedLeadership_.end(), [](const StoredRecord &left, const StoredRecord &right) {
         return left.offset_ < right.offset_;
     });
-    for (const auto wantClaims : {false, true}) {
-        for (const auto &record : loadedLeadership_) {
-            const auto decoded = decodeLeadership(*record.record_.value_);
-            if (decoded && (decoded->act_ == LeadershipAct::Claim) == wantClaims) {
-                applyLeadership(record.offset_, *record.record_.value_);
-            }
+    for (const auto &record : loadedLeadership_) {
+        const auto decoded = decodeLeadership(*record.record_.value_);
+        const auto isVoid = decoded && decoded->act_ == LeadershipAct::Claim && std::any_of(epochs.begin(), epochs.end(), [&](std::uint64_t epoch) {
+                                return epoch > decoded->epoch_ && epoch <= record.offset_;
+                            });
+        if (!isVoid) {
+            applyLeadership(record.offset_, *record.record_.value_);
         }
     }
     loadedLeadership_.clear();
