--- a/marjoramfold/dispatch/placement.cpp
+++ b/marjoramfold/dispatch/placement.cpp
@@ -34,14 +34,14 @@
     return placed >= need.step_->maxPerWorker_ ? 0 : std::min(wanted, need.step_->maxPerWorker_ - placed);
 }
 
-/// Core-seconds that are lost when a run is stopped now.
+/// Core-seconds that are lost when a run is stopped now, with its whole gang.
 auto lossOf(const WorkerRun &run, BootTime now) -> double
 {
     const auto began = run.acceptedAt_ == BootTime{} ? run.placedAt_ : run.acceptedAt_;
     const auto seconds = std::chrono::duration<double>(now - began).count();
     const auto saved = run.checkpoint_.empty() ? 1.0 : 0.3;
     const auto cores = static_cast<double>(run.demand_.milliCores_) / 1000.0 + CoresPerAccelerator * static_cast<double>(run.demand_.accelerators_);
-    return (0.5 + seconds * saved) * cores;
+    return (0.5 + seconds * saved) * cores * run.members_;
 }
 } // namespace
 
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -36,6 +36,8 @@
     RunStage stage_ = RunStage::Recorded;
     Demand demand_;
     int priority_ = 0;
+    /// Tasks that end when this run is stopped: all members of a gang.
+    std::uint32_t members_ = 1;
     /// Run time that is expected at this place.
     std::chrono::milliseconds expected_{0};
     BootTime placedAt_{};
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -144,6 +144,7 @@
     state.stage_ = RunStage::InDoubt;
     state.demand_ = run.demand_;
     state.priority_ = run.priority_;
+    state.members_ = run.members_;
     state.expected_ = run.expected_;
     state.placedAt_ = BootClock::now();
     state.progressAt_ = state.placedAt_;
--- a/marjoramfold/dispatch/workersessions.h
+++ b/marjoramfold/dispatch/workersessions.h
@@ -55,6 +55,7 @@
     std::uint64_t born_ = 0;
     Demand demand_;
     int priority_ = 0;
+    std::uint32_t members_ = 1;
     std::chrono::milliseconds expected_{0};
 };
 
--- a/marjoramfold/store/streamfollower.h
+++ b/marjoramfold/store/streamfollower.h
@@ -15,7 +15,7 @@
 struct FollowerOptions {
     StreamId stream_;
     /// Longest wait of a read for new records; also how old the proof of currency grows.
-    std::chrono::milliseconds wait_{1500};
+    std::chrono::milliseconds wait_{1200};
     /// Pause after a read that brought records; it bounds the calls to the store.
     std::chrono::milliseconds pace_{0};
     /// Longest delay of an answer beyond the wait.
