--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -120,7 +120,7 @@
             ++job->active_;
             const TaskRef ref{parsed->first, parsed->second, step, index};
             sessions_.adoptRun(task.worker_,
-                               {ref, task.lastRun_, task.workerBorn_, plan.task_, queue == nullptr ? 0 : queue->priority_, plan.gang_ ? plan.count_ : 1, expectedTime(plan, 1.0)});
+                               {ref, task.lastRun_, task.workerBorn_, plan.task_, queue == nullptr ? 0 : queue->priority_, plan.gang_ ? plan.count_ : 1, plan.checkpoints_, expectedTime(plan, 1.0)});
         }
     }
 }
--- a/marjoramfold/dispatch/placement.cpp
+++ b/marjoramfold/dispatch/placement.cpp
@@ -12,6 +12,9 @@
 /// Seconds of one core that an accelerator counts for when work is weighed.
 constexpr double CoresPerAccelerator = 8.0;
 
+/// What a restart costs besides the work that is not saved: the stop, the wait for room and the restore.
+constexpr double RestartSeconds = 1.0;
+
 /// How many tasks of a demand fit into room, at most a limit.
 auto fitting(Demand room, const Demand &task, std::uint32_t limit) -> std::uint32_t
 {
@@ -39,9 +42,8 @@
 {
     const auto began = run.acceptedAt_ == BootTime{} ? run.placedAt_ : run.acceptedAt_;
     const auto seconds = std::chrono::duration<double>(now - began).count();
-    const auto saved = run.checkpoint_.empty() ? 1.0 : 0.3;
     const auto cores = static_cast<double>(run.demand_.milliCores_) / 1000.0 + CoresPerAccelerator * static_cast<double>(run.demand_.accelerators_);
-    return (0.5 + seconds * saved) * cores * run.members_;
+    return (RestartSeconds + (run.saves_ ? 0.0 : seconds)) * cores * run.members_;
 }
 } // namespace
 
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -224,6 +224,7 @@
         run.demand_ = plan.task_;
         run.priority_ = ready.queue_->priority_;
         run.members_ = plan.gang_ ? plan.count_ : 1;
+        run.saves_ = plan.checkpoints_;
         run.expected_ = plan.service_ ? std::chrono::milliseconds(0) : expected;
         run.placedAt_ = now;
         sessions_.place(session.entry_.id_, ref, task.lastRun_, run);
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -38,6 +38,8 @@
     int priority_ = 0;
     /// Tasks that end when this run is stopped: all members of a gang.
     std::uint32_t members_ = 1;
+    /// A stop saves the progress.
+    bool saves_ = false;
     /// Run time that is expected at this place.
     std::chrono::milliseconds expected_{0};
     BootTime placedAt_{};
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -145,6 +145,7 @@
     state.demand_ = run.demand_;
     state.priority_ = run.priority_;
     state.members_ = run.members_;
+    state.saves_ = run.saves_;
     state.expected_ = run.expected_;
     state.placedAt_ = BootClock::now();
     state.progressAt_ = state.placedAt_;
--- a/marjoramfold/dispatch/workersessions.h
+++ b/marjoramfold/dispatch/workersessions.h
@@ -56,6 +56,7 @@
     Demand demand_;
     int priority_ = 0;
     std::uint32_t members_ = 1;
+    bool saves_ = false;
     std::chrono::milliseconds expected_{0};
 };
 
