--- a/marjoramfold/dispatch/placement.cpp
+++ b/marjoramfold/dispatch/placement.cpp
@@ -78,14 +78,14 @@
         && (label.empty() || std::find(entry.labels_.begin(), entry.labels_.end(), label) != entry.labels_.end());
 }
 
-auto Placement::groupsFor(const UnitNeed &need, bool near) -> std::vector<Group>
+auto Placement::groupsFor(const UnitNeed &need, bool near, bool cleanOnly) -> std::vector<Group>
 {
     const auto &step = *need.step_;
     const auto byRack = near && step.gang_ && step.oneRack_ && need.count_ > 1;
     std::map<std::string, Group> groups;
     for (auto &candidate : candidates_) {
         const auto &rack = candidate.session_->entry_.rack_.value();
-        if (!eligible(candidate, need) || (near && !step.dataRack_.empty() && rack != step.dataRack_)) {
+        if (!eligible(candidate, need) || (cleanOnly && !candidate.session_->troubledJobs_.empty()) || (near && !step.dataRack_.empty() && rack != step.dataRack_)) {
             continue;
         }
         groups[byRack ? rack : std::string()].push_back(&candidate);
@@ -124,10 +124,21 @@
 }
 
 auto Placement::findRoom(const UnitNeed &need, bool near) -> std::optional<UnitPlacement>
+{
+    // One bad worker fails a whole gang, and urgent work has no time for a second try: both go where nothing failed last.
+    if (need.step_->gang_ || need.priority_ == 0) {
+        if (auto choice = findRoomIn(groupsFor(need, near, true), need, near); choice) {
+            return choice;
+        }
+    }
+    return findRoomIn(groupsFor(need, near), need, near);
+}
+
+auto Placement::findRoomIn(const std::vector<Group> &groups, const UnitNeed &need, bool near) const -> std::optional<UnitPlacement>
 {
     std::optional<UnitPlacement> best;
     std::int64_t bestRoom = 0;
-    for (const auto &group : groupsFor(need, near)) {
+    for (const auto &group : groups) {
         auto workers = fill(group, need);
         if (workers.empty() || (need.step_->gang_ && workers.size() < need.count_)) {
             continue;
--- a/marjoramfold/dispatch/placement.h
+++ b/marjoramfold/dispatch/placement.h
@@ -76,7 +76,8 @@
     using CostOfRun = std::function<std::optional<double>(const WorkerRun &)>;
 
     [[nodiscard]] auto eligible(const Candidate &candidate, const UnitNeed &need) const -> bool;
-    [[nodiscard]] auto groupsFor(const UnitNeed &need, bool near) -> std::vector<Group>;
+    [[nodiscard]] auto groupsFor(const UnitNeed &need, bool near, bool cleanOnly = false) -> std::vector<Group>;
+    [[nodiscard]] auto findRoomIn(const std::vector<Group> &groups, const UnitNeed &need, bool near) const -> std::optional<UnitPlacement>;
     [[nodiscard]] auto fill(const Group &group, const UnitNeed &need) const -> std::vector<WorkerSession *>;
     [[nodiscard]] auto fillByFreeing(const Group &group, const UnitNeed &need, const CostOfRun &costOf) const -> std::optional<std::pair<UnitPlacement, double>>;
 
