--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -363,8 +363,9 @@
     if (session.entry_.address_.empty()) {
         return false;
     }
-    // A silent worker without runs is asked too: it gets new work only after it has answered.
-    if (session.failingSince_ != BootTime{} && session.listed_) {
+    // A silent worker without runs is asked too, and one that a former leader used: they get new work only after an answer.
+    const auto unheard = session.failingSince_ != BootTime{} || (session.adopted_ && !session.answered_);
+    if (unheard && session.listed_) {
         return true;
     }
     // Ends are not asked for again before they are recorded: the worker would answer with the same ones at once.
