--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -157,7 +157,6 @@
     session.runs_[{run.task_, run.run_}] = state;
     if (session.entry_.born_ != run.born_) {
         endRun(session, {run.task_, run.run_}, EndKind::Lost, {}, false, "the worker was started again");
-        return;
     }
     renew(session);
 }
