--- /dev/null
+++ b/tests/soak/soakrun.cpp
@@ -0,0 +1,487 @@
+#include "tests/soak/soakrun.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+namespace Marjoramfold::Soak
+{
+namespace
+{
+constexpr std::chrono::milliseconds EntryInterval{500};
+constexpr std::chrono::milliseconds JobInterval{150};
+constexpr std::chrono::milliseconds AskInterval{120};
+constexpr std::chrono::milliseconds FaultInterval{700};
+constexpr std::chrono::milliseconds WatchInterval{100};
+constexpr std::chrono::milliseconds Patience{3000};
+constexpr std::chrono::milliseconds RetryPause{250};
+constexpr int MostTries = 5;
+constexpr const char *Host = "soak.example";
+constexpr const char *Key = "soak-key";
+
+auto freeAddress(asio::io_context &context) -> std::string
+{
+    const asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+auto routeTo(std::uint16_t port) -> RouteOptions
+{
+    RouteOptions options;
+    options.serverAddress_ = "127.0.0.1";
+    options.serverPort_ = port;
+    return options;
+}
+} // namespace
+
+SoakRun::SoakRun(SoakOptions options)
+    : options_(std::move(options))
+    , random_(options_.seed_)
+    , store_(context_, options_.seed_)
+    , client_(context_)
+    , startedAt_(Clock::now())
+{
+}
+
+SoakRun::~SoakRun()
+{
+    for (auto &instance : instances_) {
+        if (instance.process_ != 0) {
+            kill(instance.process_, SIGKILL);
+            waitpid(instance.process_, nullptr, 0);
+        }
+    }
+}
+
+auto SoakRun::pick(std::size_t count) -> std::size_t
+{
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
+}
+
+auto SoakRun::chance(double share) -> bool
+{
+    return std::uniform_real_distribution<double>(0, 1)(random_) < share;
+}
+
+auto SoakRun::note(const std::string &what) -> void
+{
+    const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - startedAt_).count();
+    std::ofstream(options_.folder_ + "/soak.log", std::ios::app) << at << " " << what << "\n";
+}
+
+auto SoakRun::later(std::chrono::milliseconds pause, std::function<void()> step) -> void
+{
+    auto timer = std::make_shared<asio::steady_timer>(context_, pause);
+    timer->async_wait([this, timer, step = std::move(step)](const std::error_code &error) {
+        if (!error && !over_) {
+            step();
+        }
+    });
+}
+
+auto SoakRun::run() -> std::vector<std::string>
+{
+    std::filesystem::create_directories(options_.folder_);
+    storePort_ = store_.listen();
+    publishConfig();
+    makeWorkers();
+    makeInstances();
+    publishEntries();
+    watchProcesses();
+    later(std::chrono::seconds(1), [this] {
+        sendJob();
+        ask();
+        cancelSome();
+    });
+    later(std::chrono::seconds(3), [this] {
+        if (options_.killLeaderOnly_) {
+            killLeader();
+        } else {
+            injectFault();
+        }
+    });
+    later(options_.faultTime_, [this] {
+        endFaults();
+    });
+    const auto latest = Clock::now() + options_.faultTime_ + options_.settleTime_;
+    while (Clock::now() < latest && (faulting_ || !allDone())) {
+        context_.run_for(std::chrono::milliseconds(50));
+    }
+    for (const auto &[id, job] : promises_.jobs()) {
+        if (job.accepted_ && !job.cancelSent_ && job.state_ != "completed") {
+            promises_.breakPromise("accepted job " + id + " is not done in time, its state is '" + job.state_ + "'");
+        }
+    }
+    over_ = true;
+    for (const auto &broken : promises_.broken()) {
+        note("BROKEN " + broken);
+    }
+    return promises_.broken();
+}
+
+auto SoakRun::allDone() -> bool
+{
+    const auto &jobs = promises_.jobs();
+    return std::all_of(jobs.begin(), jobs.end(), [](const auto &entry) {
+        const auto &job = entry.second;
+        return !job.accepted_ || job.cancelSent_ || job.state_ == "completed";
+    });
+}
+
+auto SoakRun::publishConfig() -> void
+{
+    const auto route = [](const char *name, const char *prefix, int priority) {
+        return nlohmann::json{{"name", name}, {"host", Host}, {"path_prefix", prefix}, {"kind", "unsafe"}, {"timeout_ms", 3000}, {"target_latency_ms", 500},
+                              {"priority", priority}, {"service", "pool"}, {"max_attempts", 20}, {"stretch", 3.0}, {"public", false}};
+    };
+    const nlohmann::json config{{"version", 3},
+                                {"routes", {route("batch", "/batch/", 2), route("urgent", "/urgent/", 0)}},
+                                {"services", {{{"name", "pool"}, {"admission_check", false}}}},
+                                {"tenants", {{{"name", "team"}, {"api_keys", {Key}}, {"guaranteed", {{"gpu", 16}}}}}}};
+    store_.put("keyed.op", "config", config.dump());
+}
+
+auto SoakRun::makeWorkers() -> void
+{
+    for (unsigned i = 0; i < options_.workers_; ++i) {
+        LeasedWorkerHooks hooks;
+        hooks.work_ = [this](const std::string &task) {
+            return promises_.job(Promises::jobOf(task)).work_;
+        };
+        hooks.gangSize_ = [this](const std::string &task) {
+            const auto &job = promises_.job(Promises::jobOf(task));
+            return job.gang_ ? job.tasks_ : std::size_t(1);
+        };
+        hooks.began_ = [this](const std::string &worker, const std::string &task, int run) {
+            promises_.began(worker, task, run);
+        };
+        hooks.ended_ = [this](const std::string &worker, const std::string &task, int run, const std::string &how) {
+            promises_.ended(worker, task, run, how);
+        };
+        hooks.acknowledged_ = [this](const std::string &worker, const std::string &task, int /*run*/, const std::string &how) {
+            promises_.acknowledged(worker, task, how);
+        };
+        hooks.present_ = [this](const std::string &task, int run) {
+            return promises_.present(task, run);
+        };
+        Worker worker;
+        worker.worker_ = std::make_unique<LeasedWorker>(context_, "w" + std::to_string(i), hooks, options_.seed_ + i);
+        worker.route_ = std::make_unique<TcpRoute>(context_, routeTo(worker.worker_->listen()), options_.seed_);
+        worker.zone_ = i % 2 == 0 ? "zone-1" : "zone-2";
+        worker.rack_ = i % 2 == 0 ? "r1-1" : "r2-1";
+        workers_.push_back(std::move(worker));
+    }
+}
+
+auto SoakRun::makeInstances() -> void
+{
+    for (unsigned i = 0; i < options_.instances_; ++i) {
+        Instance instance;
+        instance.name_ = "i" + std::to_string(i);
+        instance.zone_ = i % 2 == 0 ? "zone-1" : "zone-2";
+        instance.callers_ = freeAddress(context_);
+        instance.readiness_ = freeAddress(context_);
+        instance.metrics_ = freeAddress(context_);
+        instance.storeRoute_ = std::make_unique<TcpRoute>(context_, routeTo(storePort_), options_.seed_);
+        std::ofstream(options_.folder_ + "/" + instance.name_ + ".toml")
+            << "[instance]\nname = \"" << instance.name_ << "\"\navailability_zone = \"" << instance.zone_ << "\"\ncore_share = 0.25\n"
+            << "[listen]\ncallers = \"" << instance.callers_ << "\"\nreadiness = \"" << instance.readiness_ << "\"\nmetrics = \"" << instance.metrics_ << "\"\n"
+            << "[store]\naddress = \"127.0.0.1:" << instance.storeRoute_->port() << "\"\n"
+            << "[bounds]\nrevoke_ms = 5000\ngrace_s = 6\nlongest_lease_ms = 6000\nstop_ms = 200\nfar_factor = 3\n";
+        instances_.push_back(std::move(instance));
+    }
+    for (auto &instance : instances_) {
+        startProcess(instance);
+    }
+}
+
+auto SoakRun::startProcess(Instance &instance) -> void
+{
+    const auto log = options_.folder_ + "/" + instance.name_ + ".log";
+    const auto settings = "--settings=" + options_.folder_ + "/" + instance.name_ + ".toml";
+    instance.terminating_ = false;
+    instance.paused_ = false;
+    instance.process_ = fork();
+    if (instance.process_ == 0) {
+        const auto file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        dup2(file, STDOUT_FILENO);
+        dup2(file, STDERR_FILENO);
+        execl(options_.program_.c_str(), options_.program_.c_str(), settings.c_str(), nullptr);
+        _exit(127);
+    }
+    note("started " + instance.name_);
+}
+
+auto SoakRun::watchProcesses() -> void
+{
+    for (auto &instance : instances_) {
+        if (int status = 0; instance.process_ != 0 && waitpid(instance.process_, &status, WNOHANG) == instance.process_) {
+            const auto byItself = !instance.terminating_ && !instance.disturbed_;
+            if (byItself || (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL)) {
+                promises_.breakPromise("instance " + instance.name_ + " ended by itself, status " + std::to_string(status));
+            }
+            startProcess(instance);
+        }
+    }
+    later(WatchInterval, [this] {
+        watchProcesses();
+    });
+}
+
+auto SoakRun::publishEntries() -> void
+{
+    for (auto &worker : workers_) {
+        const auto address = "127.0.0.1:" + std::to_string(worker.route_->port());
+        store_.put("keyed.servers", worker.worker_->id(), worker.worker_->entry(address, worker.zone_, worker.rack_, "pool"));
+    }
+    later(EntryInterval, [this] {
+        publishEntries();
+    });
+}
+
+auto SoakRun::call(const std::string &method, const std::string &id, const std::string &body, std::function<void(int, const std::string &)> done) -> void
+{
+    const auto index = pick(instances_.size());
+    const auto prefix = promises_.job(id).gang_ ? "/urgent/" : "/batch/";
+    HttpClientRequest request{method, instances_[index].callers_, prefix + id, {}, body, Patience};
+    request.headers_ = {{"Host", Host}, {"Authorization", std::string("Bearer ") + Key}, {"X-Deadline-Ms", std::to_string(Patience.count())}};
+    const auto process = instances_[index].process_;
+    const auto wasTerminating = instances_[index].terminating_;
+    client_.send(std::move(request), [this, index, process, wasTerminating, method, id, done = std::move(done)](const Result<HttpClientResponse> &result) {
+        if (isOk(result)) {
+            const auto json = nlohmann::json::parse(valueOf(result).body_, nullptr, false);
+            done(valueOf(result).status_, json.is_object() ? json.value("state", std::string()) : std::string());
+            return;
+        }
+        // A request that was sent before a termination signal must be answered, unless something else struck the instance.
+        const auto &instance = instances_[index];
+        const auto sent = errorOf(result).kind_ == ErrorKind::TransportFailed;
+        if (sent && !wasTerminating && instance.terminating_ && !instance.disturbed_ && instance.process_ == process) {
+            promises_.cutDuringShutdown(method + " " + id + " at " + instance.name_);
+        }
+        done(0, "");
+    });
+}
+
+auto SoakRun::sendJob() -> void
+{
+    if (faulting_) {
+        SoakJob job;
+        char id[17];
+        std::snprintf(id, sizeof(id), "%08llx%08x", static_cast<unsigned long long>(options_.seed_ & 0xffffffffU), ++nextJob_);
+        job.id_ = id;
+        job.gang_ = chance(0.3);
+        job.tasks_ = 1 + pick(job.gang_ ? 4 : 8);
+        job.work_ = std::chrono::milliseconds(200 + pick(1500));
+        promises_.addJob(job);
+        submit(job.id_, MostTries);
+        later(JobInterval, [this] {
+            sendJob();
+        });
+    }
+}
+
+auto SoakRun::submit(const std::string &id, int tries) -> void
+{
+    const auto &job = promises_.job(id);
+    nlohmann::json step{{"count", job.tasks_}, {"cpu", 1000}, {"mem_mb", 1000}, {"gpu", 1}, {"estimate_ms", job.work_.count()}};
+    if (job.gang_) {
+        step["gang"] = true;
+        step["same_rack"] = true;
+    }
+    const nlohmann::json body{{"spec", "soak"}, {"steps", {step}}};
+    // Its tasks may start before the answer arrives, unless that answer refuses it.
+    promises_.job(id).maybeStored_ = true;
+    call("POST", id, body.dump(), [this, id, tries, before = job.accepted_](int status, const std::string &) {
+        promises_.submitted(id, status);
+        if (status != 200 && !before && tries > 1) {
+            later(RetryPause, [this, id, tries] {
+                submit(id, tries - 1);
+            });
+        }
+    });
+}
+
+auto SoakRun::ask() -> void
+{
+    std::vector<std::string> open;
+    for (const auto &[id, job] : promises_.jobs()) {
+        if (job.accepted_ && (job.state_ != "completed" || chance(0.05))) {
+            open.push_back(id);
+        }
+    }
+    if (!open.empty()) {
+        const auto id = open[pick(open.size())];
+        call("GET", id, "", [this, id](int status, const std::string &state) {
+            promises_.asked(id, status, state);
+        });
+    }
+    later(faulting_ ? AskInterval : AskInterval / 6, [this] {
+        ask();
+    });
+}
+
+auto SoakRun::cancelSome() -> void
+{
+    for (auto &[id, job] : promises_.jobs()) {
+        if (job.accepted_ && !job.cancelSent_ && job.state_ != "completed" && faulting_ && chance(0.02)) {
+            job.cancelSent_ = true;
+            call("DELETE", id, "", [this, id = id](int status, const std::string &) {
+                promises_.cancelAnswered(id, status);
+            });
+            break;
+        }
+    }
+    later(std::chrono::milliseconds(400), [this] {
+        cancelSome();
+    });
+}
+
+auto SoakRun::injectFault() -> void
+{
+    if (!faulting_) {
+        return;
+    }
+    switch (pick(3)) {
+    case 0:
+        faultInstance();
+        break;
+    case 1:
+        faultStore();
+        break;
+    default:
+        faultWorker();
+        break;
+    }
+    later(FaultInterval / 2 + std::chrono::milliseconds(pick(static_cast<std::size_t>(FaultInterval.count()))), [this] {
+        injectFault();
+    });
+}
+
+auto SoakRun::faultInstance() -> void
+{
+    const auto index = pick(instances_.size());
+    auto &instance = instances_[index];
+    const auto time = std::chrono::milliseconds(500 + pick(2500));
+    const auto kind = pick(5);
+    note("instance " + instance.name_ + " fault " + std::to_string(kind) + " for " + std::to_string(time.count()));
+    if (kind == 0) {
+        instance.disturbed_ = true;
+        kill(instance.process_, SIGKILL);
+    } else if (kind == 1 && !instance.paused_) {
+        instance.disturbed_ = true;
+        instance.paused_ = true;
+        kill(instance.process_, SIGSTOP);
+        later(time, [this, index, process = instance.process_] {
+            instances_[index].paused_ = false;
+            if (instances_[index].process_ == process) {
+                kill(process, SIGCONT);
+            }
+        });
+    } else if (kind == 2) {
+        instance.terminating_ = true;
+        kill(instance.process_, SIGTERM);
+    } else if (kind == 3) {
+        RouteFaults faults;
+        faults.cutToServer_ = chance(0.6);
+        faults.cutToClient_ = !faults.cutToServer_ || chance(0.5);
+        instance.storeRoute_->setFaults(faults);
+        later(time, [this, index] {
+            instances_[index].storeRoute_->setFaults({});
+        });
+    } else {
+        instance.storeRoute_->resetAll();
+    }
+}
+
+auto SoakRun::faultStore() -> void
+{
+    const auto time = std::chrono::milliseconds(400 + pick(2000));
+    const auto kind = pick(4);
+    note("store fault " + std::to_string(kind) + " for " + std::to_string(time.count()));
+    if (kind == 0) {
+        store_.faults_.refuses_ = true;
+    } else if (kind == 1) {
+        store_.faults_.lostAnswers_ = 0.3;
+    } else if (kind == 2) {
+        store_.faults_.delay_ = std::chrono::milliseconds(50 + pick(200));
+    } else {
+        store_.dropHistory("keyed.servers");
+        store_.dropHistory("keyed.marjoramfold.feed");
+    }
+    later(time, [this] {
+        store_.faults_ = {};
+    });
+}
+
+auto SoakRun::faultWorker() -> void
+{
+    const auto index = pick(workers_.size());
+    auto &worker = workers_[index];
+    const auto time = std::chrono::milliseconds(500 + pick(4000));
+    const auto kind = pick(6);
+    note("worker " + worker.worker_->id() + " fault " + std::to_string(kind) + " for " + std::to_string(time.count()));
+    if (kind == 0) {
+        worker.worker_->restart();
+    } else if (kind == 1) {
+        worker.worker_->faults_.lateOrders_ = 0.5;
+    } else if (kind == 2) {
+        worker.worker_->faults_.lostAnswers_ = 0.5;
+    } else if (kind == 3) {
+        worker.worker_->faults_.failsAll_ = true;
+    } else if (kind == 4) {
+        worker.route_->resetAll();
+    } else {
+        RouteFaults faults;
+        faults.cutToServer_ = chance(0.6);
+        faults.cutToClient_ = !faults.cutToServer_ || chance(0.5);
+        worker.route_->setFaults(faults);
+    }
+    later(time, [this, index] {
+        workers_[index].worker_->faults_ = {};
+        workers_[index].route_->setFaults({});
+    });
+}
+
+auto SoakRun::killLeader() -> void
+{
+    // The leader is the instance whose log says so last.
+    for (auto &instance : instances_) {
+        std::ifstream log(options_.folder_ + "/" + instance.name_ + ".log");
+        const std::string text((std::istreambuf_iterator<char>(log)), std::istreambuf_iterator<char>());
+        if (text.find("leadership_begun") != std::string::npos) {
+            note("killed the leader " + instance.name_);
+            instance.disturbed_ = true;
+            kill(instance.process_, SIGKILL);
+            return;
+        }
+    }
+    promises_.breakPromise("no instance leads");
+}
+
+auto SoakRun::endFaults() -> void
+{
+    note("faults end");
+    faulting_ = false;
+    store_.faults_ = {};
+    for (auto &worker : workers_) {
+        worker.worker_->faults_ = {};
+        worker.route_->setFaults({});
+    }
+    for (auto &instance : instances_) {
+        instance.storeRoute_->setFaults({});
+        if (instance.paused_) {
+            kill(instance.process_, SIGCONT);
+        }
+    }
+}
+} // namespace Marjoramfold::Soak
