--- a/marjoramfold/dispatch/placement.cpp
+++ b/marjoramfold/dispatch/placement.cpp
@@ -12,6 +12,9 @@
 /// Seconds of one core that an accelerator counts for when work is weighed.
 constexpr double CoresPerAccelerator = 8.0;
 
+/// Share of the workers that is kept idle for urgent gangs, which need several whole workers of a rack at once.
+constexpr double KeptIdleShare = 0.06;
+
 /// What a restart costs besides the work that is not saved: the stop, the wait for room and the restore.
 constexpr double RestartSeconds = 1.0;
 
@@ -67,7 +70,9 @@
     });
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
         indexes_[candidates_[i].session_] = i;
+        idleWorkers_ += isIdle(candidates_[i]) ? 1 : 0;
     }
+    keptIdle_ = static_cast<std::size_t>(static_cast<double>(candidates_.size()) * KeptIdleShare);
 }
 
 auto Placement::eligible(const Candidate &candidate, const UnitNeed &need) const -> bool
@@ -102,10 +107,17 @@
 {
     // Fullest workers first, so that large holes stay for large tasks.
     std::vector<std::pair<std::uint32_t, const Candidate *>> order;
+    auto spareWorkers = idleWorkers_ > keptIdle_ ? idleWorkers_ - keptIdle_ : 0;
     for (const auto *candidate : group) {
         if (candidate->reserved_ && need.priority_ > 0) {
             continue;
         }
+        if (need.priority_ > 0 && isIdle(*candidate)) {
+            if (spareWorkers == 0) {
+                continue;
+            }
+            --spareWorkers;
+        }
         const auto &id = candidate->session_->entry_.id_;
         const auto fits = fitting(candidate->room_, need.step_->task_, limitAt(need, id, need.count_));
         if (fits > 0) {
@@ -270,10 +282,17 @@
     return false;
 }
 
+auto Placement::isIdle(const Candidate &candidate) -> bool
+{
+    return candidate.room_ == candidate.session_->entry_.capacity_;
+}
+
 auto Placement::take(WorkerSession &session, const Demand &demand) -> void
 {
     if (const auto found = indexes_.find(&session); found != indexes_.end()) {
-        candidates_[found->second].room_ -= demand;
+        auto &candidate = candidates_[found->second];
+        idleWorkers_ -= isIdle(candidate) ? 1 : 0;
+        candidate.room_ -= demand;
     }
 }
 
--- a/marjoramfold/dispatch/placement.h
+++ b/marjoramfold/dispatch/placement.h
@@ -86,7 +86,12 @@
 
     [[nodiscard]] auto cheapestFreeing(const UnitNeed &need, bool near, const CostOfRun &costOf) -> std::optional<UnitPlacement>;
 
+    [[nodiscard]] static auto isIdle(const Candidate &candidate) -> bool;
+
     std::vector<Candidate> candidates_;
+    std::size_t idleWorkers_ = 0;
+    /// Idle workers that only urgent work may take.
+    std::size_t keptIdle_ = 0;
     std::unordered_map<const WorkerSession *, std::size_t> indexes_;
     BootTime now_;
 };
