Count ends that are heard of late

A late 'done' now completes the task and stops the later run; a late 'failed' counts as an attempt. The new test fails on the former code.

--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -126,6 +126,7 @@
     // runoutcomes.cpp: what follows from what workers report.
     auto onBegan(const WorkerId &worker, const TaskRef &task, std::uint32_t run) -> void;
     auto onEnded(const RunEnded &end) -> void;
+    auto applyLateEnd(JobRecord &job, const RunEnded &end) -> void;
     auto applyDone(JobRecord &job, const RunEnded &end) -> void;
     auto applyFailure(JobRecord &job, const RunEnded &end) -> void;
     auto endGang(JobRecord &job, const RunEnded &end) -> void;
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -9,6 +9,13 @@
 {
 /// Weight of a new observation in a learned ratio.
 constexpr double LearningRate = 0.1;
+/// True when a job has the task; a listing may come from another writer.
+auto hasTask(const JobRecord &job, const TaskRef &task) -> bool
+{
+    return task.occurrence_ < job.occurrences_.size() && task.step_ < job.occurrences_[task.occurrence_].steps_.size()
+        && task.index_ < job.occurrences_[task.occurrence_].steps_[task.step_].tasks_.size();
+}
+
 /// Bounds of a learned ratio; callers' estimates are off by factors, not by orders of magnitude.
 constexpr double SmallestRatio = 0.3;
 constexpr double LargestRatio = 4.0;
@@ -48,9 +55,14 @@
     if (job == nullptr) {
         return;
     }
+    if (!hasTask(*job, end.task_)) {
+        LogLine(LogSeverity::Warning, "end_of_unknown_task").job(end.task_.job_.value()).with("task", toString(end.task_));
+        return;
+    }
     auto &step = job->occurrences_[end.task_.occurrence_].steps_[end.task_.step_];
     auto &task = step.tasks_[end.task_.index_];
     if (task.lastRun_ != end.run_ || task.worker_ != end.worker_) {
+        applyLateEnd(*job, end);
         return;
     }
     task.worker_ = WorkerId();
@@ -75,6 +87,31 @@
     flush();
 }
 
+auto FleetScheduler::applyLateEnd(JobRecord &job, const RunEnded &end) -> void
+{
+    auto &step = job.occurrences_[end.task_.occurrence_].steps_[end.task_.step_];
+    const auto &plan = job.submission_.plan_.steps_[end.task_.step_];
+    if (plan.service_ || step.tasks_[end.task_.index_].done_ || job.isClosed()) {
+        return;
+    }
+    if (end.kind_ == EndKind::Failed) {
+        touch(job, end.task_.occurrence_);
+        applyFailure(job, end);
+    } else if (end.kind_ == EndKind::Done) {
+        touch(job, end.task_.occurrence_);
+        applyDone(job, end);
+        // The later runs of what is done now are work for nothing.
+        for (std::uint32_t index = 0; index < step.tasks_.size(); ++index) {
+            const auto &task = step.tasks_[index];
+            if (task.done_ && task.isActive()) {
+                sessions_.stop(task.worker_, {end.task_.job_, end.task_.occurrence_, end.task_.step_, index}, task.lastRun_);
+            }
+        }
+    }
+    requestPass();
+    flush();
+}
+
 auto FleetScheduler::applyDone(JobRecord &job, const RunEnded &end) -> void
 {
     ++counts_.doneRuns_;
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -523,6 +523,11 @@
             continue;
         }
         session.endsSeen_ = end.number_;
+        if (!session.runs_.contains({end.task_, end.run_})) {
+            // The run was given up before its end could be heard; the end counts all the same.
+            events_.ended_({session.entry_.id_, end.task_, end.run_, end.kind_, end.checkpoint_, false, "listed late by the worker", {}});
+            continue;
+        }
         endRun(session, {end.task_, end.run_}, end.kind_, end.checkpoint_, false, "listed by the worker");
     }
 }
--- a/tests/unit/test_fleetscheduler.cpp
+++ b/tests/unit/test_fleetscheduler.cpp
@@ -250,6 +250,23 @@
         CHECK(fleet.starts_[First].size() == 48);
     }
 
+    SECTION("a worker ends its tasks behind a cut, and is heard of only after they were started elsewhere")
+    {
+        // Guards against an end that is acknowledged and then forgotten: the rest of the job would wait for the second run.
+        auto longRuns = false;
+        fleet.work_ = [&longRuns](const TaskRef &) {
+            return longRuns ? 60'000ms : 4'000ms;
+        };
+        fleet.worker(victim).reachable_ = false;
+        fleet.advance(4s);
+        longRuns = true;
+        fleet.advance(4s);
+        fleet.worker(victim).reachable_ = true;
+        fleet.advance(3s);
+        CHECK(fleet.phaseOf(First) == JobPhase::Completed);
+        CHECK(fleet.runningTasks() == 0);
+    }
+
     SECTION("a worker is started again under its id")
     {
         fleet.restartWorker(victim);
