Start urgent jobs in the order of their acceptance, and far from their data before the bound

Urgent steps are now ranked by acceptance. When no rack can be freed, an urgent gang goes over racks 0.9 s before the bound less the stop time. The new test fails on the former code.

--- a/marjoramfold/dispatch/dispatchoptions.h
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -26,6 +26,8 @@
     std::chrono::milliseconds idleProbePause_{700};
     /// Longest time that a stop takes at a worker.
     std::chrono::milliseconds stopTime_{900};
+    /// Guaranteed work has started this long after its acceptance.
+    std::chrono::milliseconds reclaimBound_{3400};
     /// A run whose progress stands still for this long is taken for hung.
     std::chrono::milliseconds stallTime_{2600};
     /// First time that a worker is avoided after failures; it doubles each time.
--- a/marjoramfold/dispatch/joborder.cpp
+++ b/marjoramfold/dispatch/joborder.cpp
@@ -50,6 +50,9 @@
     } else if (end <= lateEnd) {
         lateness = 1;
     }
-    return {queue.priority_ == 0 ? 0 : 1, lateness, queue.priority_, begin + allowed, job.submission_.id_, occurrence, step};
+    if (queue.priority_ == 0) {
+        return {0, 0, 0, begin, job.submission_.id_, occurrence, step};
+    }
+    return {1, lateness, queue.priority_, begin + allowed, job.submission_.id_, occurrence, step};
 }
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/joborder.h
+++ b/marjoramfold/dispatch/joborder.h
@@ -16,8 +16,9 @@
     /// 0 while the job can still be on time, 1 while it can be late but useful, 2 after that.
     int lateness_ = 0;
     int priority_ = 0;
-    /// When the job must be complete to be on time, in Unix milliseconds.
-    std::chrono::milliseconds objective_{0};
+    /// When the job must be complete to be on time, in Unix milliseconds; for urgent jobs when they were accepted or fell due,
+    /// since each has the same bound until its start and must not be overtaken.
+    std::chrono::milliseconds orderTime_{0};
     JobId job_;
     std::uint32_t occurrence_ = 0;
     std::uint32_t step_ = 0;
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -12,6 +12,8 @@
 constexpr unsigned MostReservations = 2;
 /// A gang that has waited this long gets workers kept free.
 constexpr std::chrono::milliseconds ReserveAfter{1500};
+/// Kept from the bound for urgent starts, for the record, the orders and the answers to the stops.
+constexpr std::chrono::milliseconds StartReserve{900};
 /// Share of the slowdown's cost that a unit waits for a near place before it goes to a far one.
 constexpr double FarPatience = 0.5;
 } // namespace
@@ -141,7 +143,9 @@
     }
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - state.waitingSince_);
     const auto slowdown = std::chrono::duration<double>(expectedTime(plan, ratioOf(ready.queue_->name_))) * (options_.farFactor_ - 1.0) * FarPatience;
-    if (cares && (!couldBeNear || waited > slowdown)) {
+    // Urgent work must have started by its bound, slow or not; the stops before it take their time.
+    const auto latest = std::chrono::duration<double>(options_.reclaimBound_ - options_.stopTime_ - StartReserve);
+    if (cares && (!couldBeNear || waited > (urgent ? std::min(latest, slowdown) : slowdown))) {
         if (auto choice = placement.findRoom(need, false); choice) {
             return choice;
         }
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -216,7 +216,7 @@
             << "[instance]\nname = \"" << instance.name_ << "\"\navailability_zone = \"" << instance.zone_ << "\"\ncore_share = 0.25\n"
             << "[listen]\ncallers = \"" << instance.callers_ << "\"\nreadiness = \"" << instance.readiness_ << "\"\nmetrics = \"" << instance.metrics_ << "\"\n"
             << "[store]\naddress = \"127.0.0.1:" << instance.storeRoute_->port() << "\"\n"
-            << "[bounds]\nrevoke_ms = 5000\ngrace_s = 6\nlongest_lease_ms = 6000\nstop_ms = 200\nfar_factor = 3\n";
+            << "[bounds]\nrevoke_ms = 5000\ngrace_s = 6\nlongest_lease_ms = 6000\nstop_ms = 200\nreclaim_ms = 3400\nfar_factor = 3\n";
         instances_.push_back(std::move(instance));
     }
     for (auto &instance : instances_) {
--- a/tests/unit/test_fleetscheduler.cpp
+++ b/tests/unit/test_fleetscheduler.cpp
@@ -153,6 +153,28 @@
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
 
+TEST_CASE("an urgent job of whole workers is not overtaken by later urgent jobs", "[dispatch]")
+{
+    // Guards against guaranteed work that misses its bound because smaller jobs take the room that was freed for it.
+    SimulatedFleet fleet;
+    fillRacks(fleet);
+    fleet.work_ = [](const TaskRef &task) {
+        return task.job_ == First ? 30'000ms : 1'500ms;
+    };
+    fleet.submit(makeSubmission(First.value(), "batch", 48, Small));
+    fleet.advance(1s);
+    const auto begin = fleet.now();
+    fleet.submit(asGang(makeSubmission(Second.value(), "urgent", 3, WholeWorker)));
+    for (int i = 0; i < 30; ++i) {
+        auto small = makeSubmission("00000000000004" + std::to_string(10 + i), "urgent", 4, Small);
+        small.plan_.steps_[0].estimate_ = 100ms;
+        fleet.submit(small);
+        fleet.advance(100ms);
+    }
+    CHECK(firstStart(fleet, Second) - begin < 3'400ms);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
+
 TEST_CASE("a large gang does not starve behind small work", "[dispatch]")
 {
     SimulatedFleet fleet;
--- a/tests/unit/test_platformcodec.cpp
+++ b/tests/unit/test_platformcodec.cpp
@@ -224,6 +224,7 @@
         {"{{bounds.hold_max_ms}}", "6000"},
         {"{{bounds.stop_ms}}", "900.0"},
         {"{{bounds.far_x}}", "3"},
+        {"{{bounds.reclaim_ms}}", "3400"},
     };
     for (const auto &[placeholder, value] : values) {
         const auto at = text.find(placeholder);
