--- /dev/null
+++ b/marjoramfold/dispatch/workerrenewals.cpp
@@ -0,0 +1,186 @@
+#include "marjoramfold/dispatch/workersessions.h"
+#include "marjoramfold/observability/logline.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace Marjoramfold
+{
+// Renewals of leases and what their answers say. Orders stand in workersessions.cpp.
+
+auto WorkerSessions::needsRenewal(const WorkerSession &session) const -> bool
+{
+    if (session.entry_.address_.empty()) {
+        return false;
+    }
+    // A silent worker without runs is asked too, and one that a former leader used: they get new work only after an answer.
+    const auto unheard = session.failingSince_ != BootTime{} || (session.adopted_ && !session.answered_);
+    if (unheard && session.listed_) {
+        return true;
+    }
+    // Ends are not asked for again before they are recorded: the worker would answer with the same ones at once.
+    if (session.endsSeen_ > session.endsRecorded_) {
+        return BootClock::now() - session.renewedAt_ > options_.longestLease_ / 4;
+    }
+    if (session.endsRecorded_ > session.endsAcknowledged_) {
+        return true;
+    }
+    return std::any_of(session.runs_.begin(), session.runs_.end(), [](const auto &run) {
+        return run.second.stage_ != RunStage::Recorded && run.second.stage_ != RunStage::Ordered;
+    });
+}
+
+auto WorkerSessions::renew(WorkerSession &session) -> void
+{
+    if (session.renewing_ || !alive_ || !needsRenewal(session)) {
+        return;
+    }
+    session.renewing_ = true;
+    const auto now = BootClock::now();
+    // A worker that does not answer is only asked: each renewal on the way would put off the end of its lease.
+    const auto failing = session.failingSince_ != BootTime{};
+    if (session.firstLookAt_ == BootTime{}) {
+        session.firstLookAt_ = now;
+    }
+    const auto until = failing ? std::chrono::milliseconds(0) : leaseEnd(session, now);
+    session.leaseUntil_ = std::max(session.leaseUntil_, until);
+    // The first look at a run in doubt and the last acknowledgement must not wait for an end.
+    const auto urgent = session.runs_.empty() || !session.answered_ || failing || session.endsSeen_ > session.endsRecorded_
+        || std::any_of(session.runs_.begin(), session.runs_.end(), [](const auto &run) {
+                            return run.second.stage_ == RunStage::InDoubt;
+                        });
+    const auto wait = urgent ? std::chrono::milliseconds(0) : options_.renewWait_;
+    const auto id = session.entry_.id_;
+    const auto token = session.fencingToken_;
+    calls_.renew_({id, session.entry_.address_, token, session.endsRecorded_, until, wait, failing},
+                  [this, alive = std::weak_ptr(alive_), id, born = session.entry_.born_, now, token](const OrderAnswer &answer) {
+                      if (!alive.expired()) {
+                          onRenewAnswer(id, born, now, token, answer);
+                      }
+                  });
+    session.endsAcknowledged_ = session.endsRecorded_;
+}
+
+auto WorkerSessions::onRenewAnswer(const WorkerId &id, std::uint64_t born, BootTime sentAt, std::uint64_t token, const OrderAnswer &answer) -> void
+{
+    auto *session = find(id);
+    if (session == nullptr || session->entry_.born_ != born || session->fencingToken_ != token) {
+        return;
+    }
+    session->renewing_ = false;
+    if (answer.outcome_ == OrderOutcome::Reborn || (answer.outcome_ == OrderOutcome::Accepted && answer.report_.born_ > born)) {
+        beginLife(*session, answer.report_.born_, "another life of the worker answered");
+    } else if (answer.outcome_ == OrderOutcome::Accepted) {
+        session->renewedAt_ = sentAt;
+        noteClock(*session, answer.report_.clock_);
+        onReport(*session, sentAt, token, answer.report_);
+    } else if (answer.outcome_ == OrderOutcome::Fenced) {
+        events_.deposed_(id);
+        return;
+    } else {
+        onRenewFailure(*session, answer);
+        return;
+    }
+    session = find(id);
+    if (session == nullptr) {
+        return;
+    }
+    if (session->runs_.empty() && !session->listed_) {
+        sessions_.erase(id);
+        return;
+    }
+    renew(*session);
+}
+
+auto WorkerSessions::onRenewFailure(WorkerSession &session, const OrderAnswer &answer) -> void
+{
+    session.endsAcknowledged_ = std::min(session.endsAcknowledged_, session.endsRecorded_ > 0 ? session.endsRecorded_ - 1 : 0);
+    if (session.failingSince_ == BootTime{}) {
+        session.failingSince_ = BootClock::now();
+        LogLine(LogSeverity::Warning, "worker_lost")
+            .with("worker", session.entry_.id_.value())
+            .with("runs", session.runs_.size())
+            .with("outcome", toString(answer.outcome_))
+            .with("reason", answer.reason_);
+    }
+    const auto pause = session.runs_.empty() ? options_.idleProbePause_ : options_.renewRetryPause_;
+    schedule_(pause, [this, alive = std::weak_ptr(alive_), id = session.entry_.id_] {
+        if (alive.expired()) {
+            return;
+        }
+        if (auto *current = find(id); current != nullptr) {
+            renew(*current);
+        }
+    });
+}
+
+auto WorkerSessions::onReport(WorkerSession &session, BootTime sentAt, std::uint64_t token, const WorkerReport &report) -> void
+{
+    std::set<RunKey> listed;
+    for (const auto &run : report.running_) {
+        listed.emplace(run.task_, run.run_);
+        onListedRun(session, run);
+    }
+    onListedEnds(session, report);
+    // Runs in neither list are gone, if the list is newer than what is known of them.
+    std::vector<RunKey> missing;
+    for (const auto &entry : session.runs_) {
+        const auto &run = entry.second;
+        const auto newer = token > run.orderToken_ || (run.acceptedAt_ != BootTime{} && run.acceptedAt_ <= sentAt);
+        if (newer && run.stage_ != RunStage::Recorded && !listed.contains(entry.first)) {
+            missing.push_back(entry.first);
+        }
+    }
+    for (const auto &key : missing) {
+        const auto neverBegan = session.runs_[key].acceptedAt_ == BootTime{};
+        endRun(session, key, EndKind::Lost, {}, neverBegan, "the worker does not list the run");
+    }
+}
+
+auto WorkerSessions::onListedRun(WorkerSession &session, const ListedRun &listed) -> void
+{
+    const auto found = session.runs_.find({listed.task_, listed.run_});
+    if (found == session.runs_.end()) {
+        LogLine(LogSeverity::Warning, "unexpected_run_stopped")
+            .job(listed.task_.job_.value())
+            .with("task", toString(listed.task_))
+            .with("run", listed.run_)
+            .with("worker", session.entry_.id_.value());
+        sendStop(session, listed.task_, listed.run_);
+        return;
+    }
+    auto &run = found->second;
+    const auto now = BootClock::now();
+    if (listed.percent_ != run.percent_) {
+        run.percent_ = listed.percent_;
+        run.progressAt_ = now;
+    }
+    if (!listed.checkpoint_.empty()) {
+        run.checkpoint_ = listed.checkpoint_;
+    }
+    if (run.stage_ == RunStage::InDoubt || run.stage_ == RunStage::Ordered) {
+        run.stage_ = RunStage::Running;
+        run.acceptedAt_ = now;
+        run.progressAt_ = now;
+        events_.began_(session.entry_.id_, listed.task_, listed.run_);
+    }
+}
+
+auto WorkerSessions::onListedEnds(WorkerSession &session, const WorkerReport &report) -> void
+{
+    for (const auto &end : report.ended_) {
+        if (end.number_ <= session.endsSeen_) {
+            continue;
+        }
+        session.endsSeen_ = end.number_;
+        if (!session.runs_.contains({end.task_, end.run_})) {
+            // The run was given up before its end could be heard; the end counts all the same.
+            events_.ended_({session.entry_.id_, end.task_, end.run_, end.kind_, end.checkpoint_, false, "listed late by the worker", {}});
+            continue;
+        }
+        endRun(session, {end.task_, end.run_}, end.kind_, end.checkpoint_, false, "listed by the worker");
+    }
+}
+} // namespace Marjoramfold
--- a/tests/support/simulatedfleet.cpp
+++ b/tests/support/simulatedfleet.cpp
@@ -277,10 +277,10 @@
             auto together = true;
             if (plan.gang_) {
                 std::size_t present = 0;
-                for (const auto &[otherId, other] : workers_) {
-                    present += static_cast<std::size_t>(std::count_if(other.runs_.begin(), other.runs_.end(), [&](const auto &entry) {
-                        return entry.first.job_ == task.job_ && entry.first.step_ == task.step_ && entry.second.run_ == run.run_;
-                    }));
+                for (const auto &other : workers_) {
+                    for (const auto &[otherTask, otherRun] : other.second.runs_) {
+                        present += otherTask.job_ == task.job_ && otherTask.step_ == task.step_ && otherRun.run_ == run.run_ ? 1 : 0;
+                    }
                 }
                 together = present == plan.count_ || run.worked_.count() > 0;
             }
