--- /dev/null
+++ b/tests/soak/soakfaults.cpp
@@ -0,0 +1,154 @@
+#include "tests/soak/soakrun.h"
+
+#include <csignal>
+#include <fstream>
+#include <iterator>
+
+// The faults of a soak run: what strikes instances, the store and workers from outside.
+
+namespace Marjoramfold::Soak
+{
+namespace
+{
+constexpr std::chrono::milliseconds FaultInterval{700};
+} // namespace
+
+auto SoakRun::injectFault() -> void
+{
+    if (!faulting_) {
+        return;
+    }
+    switch (pick(3)) {
+    case 0:
+        faultInstance();
+        break;
+    case 1:
+        faultStore();
+        break;
+    default:
+        faultWorker();
+        break;
+    }
+    later(FaultInterval / 2 + std::chrono::milliseconds(pick(static_cast<std::size_t>(FaultInterval.count()))), [this] {
+        injectFault();
+    });
+}
+
+auto SoakRun::faultInstance() -> void
+{
+    const auto index = pick(instances_.size());
+    auto &instance = instances_[index];
+    const auto time = std::chrono::milliseconds(500 + pick(2500));
+    const auto kind = pick(5);
+    note("instance " + instance.name_ + " fault " + std::to_string(kind) + " for " + std::to_string(time.count()));
+    if (kind == 0) {
+        instance.disturbed_ = true;
+        kill(instance.process_, SIGKILL);
+    } else if (kind == 1 && !instance.paused_) {
+        instance.disturbed_ = true;
+        instance.paused_ = true;
+        kill(instance.process_, SIGSTOP);
+        later(time, [this, index, process = instance.process_] {
+            instances_[index].paused_ = false;
+            if (instances_[index].process_ == process) {
+                kill(process, SIGCONT);
+            }
+        });
+    } else if (kind == 2) {
+        instance.terminating_ = true;
+        kill(instance.process_, SIGTERM);
+    } else if (kind == 3) {
+        RouteFaults faults;
+        faults.cutToServer_ = chance(0.6);
+        faults.cutToClient_ = !faults.cutToServer_ || chance(0.5);
+        instance.storeRoute_->setFaults(faults);
+        later(time, [this, index] {
+            instances_[index].storeRoute_->setFaults({});
+        });
+    } else {
+        instance.storeRoute_->resetAll();
+    }
+}
+
+auto SoakRun::faultStore() -> void
+{
+    const auto time = std::chrono::milliseconds(400 + pick(2000));
+    const auto kind = pick(4);
+    note("store fault " + std::to_string(kind) + " for " + std::to_string(time.count()));
+    if (kind == 0) {
+        store_.faults_.refuses_ = true;
+    } else if (kind == 1) {
+        store_.faults_.lostAnswers_ = 0.3;
+    } else if (kind == 2) {
+        store_.faults_.delay_ = std::chrono::milliseconds(50 + pick(200));
+    } else {
+        store_.dropHistory("keyed.servers");
+        store_.dropHistory("keyed.marjoramfold.feed");
+    }
+    later(time, [this] {
+        store_.faults_ = {};
+    });
+}
+
+auto SoakRun::faultWorker() -> void
+{
+    const auto index = pick(workers_.size());
+    auto &worker = workers_[index];
+    const auto time = std::chrono::milliseconds(500 + pick(4000));
+    const auto kind = pick(6);
+    note("worker " + worker.worker_->id() + " fault " + std::to_string(kind) + " for " + std::to_string(time.count()));
+    if (kind == 0) {
+        worker.worker_->restart();
+    } else if (kind == 1) {
+        worker.worker_->faults_.lateOrders_ = 0.5;
+    } else if (kind == 2) {
+        worker.worker_->faults_.lostAnswers_ = 0.5;
+    } else if (kind == 3) {
+        worker.worker_->faults_.failsAll_ = true;
+    } else if (kind == 4) {
+        worker.route_->resetAll();
+    } else {
+        RouteFaults faults;
+        faults.cutToServer_ = chance(0.6);
+        faults.cutToClient_ = !faults.cutToServer_ || chance(0.5);
+        worker.route_->setFaults(faults);
+    }
+    later(time, [this, index] {
+        workers_[index].worker_->faults_ = {};
+        workers_[index].route_->setFaults({});
+    });
+}
+
+auto SoakRun::killLeader() -> void
+{
+    // The leader is the instance whose log says so last.
+    for (auto &instance : instances_) {
+        std::ifstream log(options_.folder_ + "/" + instance.name_ + ".log");
+        const std::string text((std::istreambuf_iterator<char>(log)), std::istreambuf_iterator<char>());
+        if (text.find("leadership_begun") != std::string::npos) {
+            note("killed the leader " + instance.name_);
+            instance.disturbed_ = true;
+            kill(instance.process_, SIGKILL);
+            return;
+        }
+    }
+    promises_.breakPromise("no instance leads");
+}
+
+auto SoakRun::endFaults() -> void
+{
+    note("faults end");
+    faulting_ = false;
+    store_.faults_ = {};
+    for (auto &worker : workers_) {
+        worker.worker_->faults_ = {};
+        worker.route_->setFaults({});
+    }
+    for (auto &instance : instances_) {
+        instance.storeRoute_->setFaults({});
+        if (instance.paused_) {
+            kill(instance.process_, SIGCONT);
+        }
+    }
+}
+} // namespace Marjoramfold::Soak
