Take a replaced worker's runs as ended, and count a failed run once

A 421 names another id at the address: it refuses all orders for the former one, so runs without an answer are over too.

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -147,7 +147,7 @@
         for (const auto &occurrence : job->occurrences_) {
             for (const auto &step : occurrence.steps_) {
                 job->failed_ = job->failed_ || std::any_of(step.tasks_.begin(), step.tasks_.end(), [queue](const TaskState &task) {
-                                   return queue != nullptr && !task.done_ && task.failures_ >= queue->maxAttempts_;
+                                   return queue != nullptr && !task.done_ && task.failedRuns_.size() >= queue->maxAttempts_;
                                });
             }
         }
--- a/marjoramfold/dispatch/jobstate.cpp
+++ b/marjoramfold/dispatch/jobstate.cpp
@@ -2,6 +2,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/chrono.hpp>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
@@ -19,7 +20,7 @@
     std::uint32_t step_ = 0;
     std::uint32_t index_ = 0;
     bool done_ = false;
-    std::uint32_t failures_ = 0;
+    std::set<std::uint32_t> failedRuns_;
     std::uint32_t lastRun_ = 0;
     WorkerId worker_;
     std::uint64_t workerBorn_ = 0;
@@ -28,7 +29,7 @@
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(step_, index_, done_, failures_, lastRun_, worker_, workerBorn_, checkpoint_);
+        archive(step_, index_, done_, failedRuns_, lastRun_, worker_, workerBorn_, checkpoint_);
     }
 };
 
@@ -101,7 +102,8 @@
         for (std::uint32_t index = 0; index < tasks.size(); ++index) {
             const auto &task = tasks[index];
             if (task.isTouched()) {
-                touched.push_back({step, index, task.done_, task.failures_, task.lastRun_, task.worker_, task.workerBorn_, task.done_ ? "" : task.checkpoint_});
+                touched.push_back(
+                    {step, index, task.done_, task.failedRuns_, task.lastRun_, task.worker_, task.workerBorn_, task.done_ ? "" : task.checkpoint_});
             }
         }
     }
@@ -121,7 +123,7 @@
         auto &step = occurrence.steps_[progress.step_];
         auto &task = step.tasks_[progress.index_];
         task.done_ = progress.done_;
-        task.failures_ = progress.failures_;
+        task.failedRuns_ = progress.failedRuns_;
         task.lastRun_ = progress.lastRun_;
         task.worker_ = progress.worker_;
         task.workerBorn_ = progress.workerBorn_;
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -16,8 +16,8 @@
 /// One task of one occurrence.
 struct TaskState {
     bool done_ = false;
-    /// Runs that ended as failed. All members of a gang count the same runs.
-    std::uint32_t failures_ = 0;
+    /// Numbers of the runs that ended as failed, so that an end that is listed again counts once. The members of a gang share them.
+    std::set<std::uint32_t> failedRuns_;
     /// Number of the last run; runs are numbered from 1.
     std::uint32_t lastRun_ = 0;
     /// Worker and its life of the run in progress; empty without one.
@@ -39,7 +39,7 @@
     /// True when there is something to record.
     [[nodiscard]] auto isTouched() const -> bool
     {
-        return done_ || failures_ != 0 || lastRun_ != 0;
+        return done_ || !failedRuns_.empty() || lastRun_ != 0;
     }
 };
 
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -138,15 +138,15 @@
         return;
     }
     task.failedOn_.insert(end.worker_);
-    ++task.failures_;
+    task.failedRuns_.insert(end.run_);
     if (plan.gang_) {
         // The gang has failed once, whichever members reported it.
         for (auto &member : step.tasks_) {
-            member.failures_ = std::max(member.failures_, task.failures_);
+            member.failedRuns_.insert(end.run_);
         }
     }
     const auto *queue = hooks_.directory_().queueNamed(job.submission_.queue_);
-    if (queue != nullptr && task.failures_ >= queue->maxAttempts_ && !job.isClosed()) {
+    if (queue != nullptr && task.failedRuns_.size() >= queue->maxAttempts_ && !job.isClosed()) {
         job.failed_ = true;
         stopRuns(job, "a task has used up its attempts");
         setPhase(job, JobPhase::Failed);
--- a/marjoramfold/dispatch/workerrenewals.cpp
+++ b/marjoramfold/dispatch/workerrenewals.cpp
@@ -70,7 +70,11 @@
         return;
     }
     session->renewing_ = false;
-    if (answer.outcome_ == OrderOutcome::Reborn || (answer.outcome_ == OrderOutcome::Accepted && answer.report_.born_ > born)) {
+    if (answer.outcome_ == OrderOutcome::Reborn) {
+        endForGood(*session);
+        return;
+    }
+    if (answer.outcome_ == OrderOutcome::Accepted && answer.report_.born_ > born) {
         beginLife(*session, answer.report_.born_, "another life of the worker answered");
     } else if (answer.outcome_ == OrderOutcome::Accepted) {
         session->renewedAt_ = sentAt;
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -226,13 +226,14 @@
             .with("outcome", toString(answer.outcome_))
             .with("reason", answer.reason_);
     }
-    if (answer.born_ > session->entry_.born_ || answer.outcome_ == OrderOutcome::Reborn) {
+    if (answer.outcome_ == OrderOutcome::Reborn) {
+        endForGood(*session);
+        return;
+    }
+    if (answer.born_ > session->entry_.born_) {
         // Another life of the worker answered. What it accepted runs there.
         beginLife(*session, answer.born_, "another life of the worker answered");
         renew(*session);
-        if (answer.outcome_ == OrderOutcome::Unknown) {
-            return;
-        }
     }
     if (answer.clock_.count() > 0) {
         noteClock(*session, answer.clock_);
@@ -376,6 +377,16 @@
     }
 }
 
+auto WorkerSessions::endForGood(WorkerSession &session) -> void
+{
+    // A worker with another id answers at the address. It refuses every order for this id, so nothing of it can run any more.
+    LogLine(LogSeverity::Warning, "worker_replaced").with("worker", session.entry_.id_.value()).with("runs", session.runs_.size());
+    session.suspectUntil_ = BootClock::now() + options_.suspectTime_;
+    session.adopted_ = false;
+    session.failingSince_ = {};
+    endAllRuns(session, EndKind::Lost, "another worker answers at the address");
+}
+
 auto WorkerSessions::beginLife(WorkerSession &session, std::uint64_t born, const std::string &reason) -> void
 {
     LogLine(LogSeverity::Warning, "worker_restarted")
--- a/marjoramfold/dispatch/workersessions.h
+++ b/marjoramfold/dispatch/workersessions.h
@@ -132,6 +132,7 @@
     auto sendStop(WorkerSession &session, const TaskRef &task, std::uint32_t run) -> void;
     auto endRun(WorkerSession &session, RunKey key, EndKind kind, const std::string &checkpoint, bool neverBegan, const std::string &reason) -> void;
     auto endAllRuns(WorkerSession &session, EndKind kind, const std::string &reason) -> void;
+    auto endForGood(WorkerSession &session) -> void;
     auto beginLife(WorkerSession &session, std::uint64_t born, const std::string &reason) -> void;
 
     DispatchOptions options_;
