Use one run type and one record codec, and drop state that nothing reads

Cause: RecordedRun repeated WorkerRun's fields and was copied one by one; the leadership record had a second copy of the cereal codec of the job records; TaskState::began_, QueueRule::requestTimeout_, Directory::poolNamed and Directory::team had no reader, and beginLife guarded against a start time of 0 that no caller passes any more. Change: adoptRun takes a WorkerRun made by the same function as a placed one; store/recordcodec.h serves both modules.

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -114,22 +114,14 @@
     for (std::uint32_t step = 0; step < occurrence.steps_.size(); ++step) {
         const auto &plan = job->submission_.plan_.steps_[step];
         for (std::uint32_t index = 0; index < occurrence.steps_[step].tasks_.size(); ++index) {
-            auto &task = occurrence.steps_[step].tasks_[index];
+            const auto &task = occurrence.steps_[step].tasks_[index];
             if (!task.isActive()) {
                 continue;
             }
             ++occurrence.steps_[step].active_;
             ++job->active_;
             const TaskRef ref{parsed->first, parsed->second, step, index};
-            sessions_.adoptRun(task.worker_,
-                               {ref,
-                                task.lastRun_,
-                                task.workerBorn_,
-                                plan.task_,
-                                queue == nullptr ? 0 : queue->priority_,
-                                plan.gang_ ? plan.count_ : 1,
-                                plan.checkpoints_,
-                                expectedTime(plan, 1.0)});
+            sessions_.adoptRun(task.worker_, task.workerBorn_, ref, task.lastRun_, makeWorkerRun(plan, queue == nullptr ? 0 : queue->priority_, false));
         }
     }
 }
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -146,6 +146,8 @@
     [[nodiscard]] auto chooseRoom(Placement &placement, const ReadyStep &ready, const UnitNeed &need, unsigned &reservations) -> std::optional<UnitPlacement>;
     auto preempt(Placement &placement, const ReadyStep &ready, const UnitPlacement &choice) -> void;
     auto startUnit(Placement &placement, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, const UnitPlacement &choice) -> void;
+    /// A run of a step that takes room at a worker from now on.
+    [[nodiscard]] auto makeWorkerRun(const StepPlan &plan, int priority, bool far) const -> WorkerRun;
     [[nodiscard]] auto ratioOf(const std::string &queue) const -> double;
 
     DispatchOptions options_;
--- a/marjoramfold/dispatch/jobstate.cpp
+++ b/marjoramfold/dispatch/jobstate.cpp
@@ -1,6 +1,7 @@
 #include "marjoramfold/dispatch/jobstate.h"
 
-#include <cereal/archives/portable_binary.hpp>
+#include "marjoramfold/store/recordcodec.h"
+
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
@@ -8,7 +9,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <sstream>
 #include <utility>
 
 namespace Marjoramfold
@@ -32,30 +32,6 @@
         archive(step_, index_, done_, failedRuns_, lastRun_, worker_, workerBorn_, checkpoint_);
     }
 };
-
-template<typename Value>
-auto encode(const Value &value) -> std::string
-{
-    std::ostringstream stream;
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(value);
-    return std::move(stream).str();
-}
-
-/// Reads a value; cereal throws on a record that is cut off.
-template<typename Value>
-auto decode(const std::string &text) -> Result<Value>
-{
-    try {
-        std::istringstream stream(text);
-        cereal::PortableBinaryInputArchive archive(stream);
-        Value value;
-        archive(value);
-        return value;
-    } catch (const std::exception &exception) {
-        return Error{ErrorKind::Malformed, exception.what(), std::nullopt};
-    }
-}
 } // namespace
 
 auto makeJobRecord(Submission submission) -> JobRecord
@@ -107,12 +83,12 @@
             }
         }
     }
-    return encode(touched);
+    return encodeRecordValue(touched);
 }
 
 auto decodeProgress(const std::string &value, OccurrenceState &occurrence) -> Result<Success>
 {
-    const auto decoded = decode<std::vector<TaskProgress>>(value);
+    const auto decoded = decodeRecordValue<std::vector<TaskProgress>>(value);
     if (!isOk(decoded)) {
         return errorOf(decoded);
     }
@@ -135,11 +111,11 @@
 
 auto encodeSubmission(const Submission &submission) -> std::string
 {
-    return encode(submission);
+    return encodeRecordValue(submission);
 }
 
 auto decodeSubmission(const std::string &value) -> Result<Submission>
 {
-    return decode<Submission>(value);
+    return decodeRecordValue<Submission>(value);
 }
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -27,8 +27,6 @@
     std::string checkpoint_;
     /// Workers on which the task failed. Not recorded.
     std::set<WorkerId> failedOn_;
-    /// The worker has begun the run. Not recorded.
-    bool began_ = false;
 
     /// True while a run may be in progress.
     [[nodiscard]] auto isActive() const -> bool
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -27,8 +27,6 @@
     if (job == nullptr) {
         return;
     }
-    auto &task = job->occurrences_[ref.occurrence_].steps_[ref.step_].tasks_[ref.index_];
-    task.began_ = true;
     LogLine(LogSeverity::Info, "run_began").job(ref.job_.value()).with("task", toString(ref)).with("run", run).with("worker", worker.value());
     if (job->isClosed()) {
         sessions_.stop(worker, ref, run);
@@ -66,7 +64,6 @@
         return;
     }
     task.worker_ = WorkerId();
-    task.began_ = false;
     --step.active_;
     --job->active_;
     touch(*job, end.task_.occurrence_);
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -200,19 +200,30 @@
     }
 }
 
+auto FleetScheduler::makeWorkerRun(const StepPlan &plan, int priority, bool far) const -> WorkerRun
+{
+    WorkerRun run;
+    run.demand_ = plan.task_;
+    run.priority_ = priority;
+    run.members_ = plan.gang_ ? plan.count_ : 1;
+    run.saves_ = plan.checkpoints_;
+    const auto expected = std::chrono::duration_cast<std::chrono::milliseconds>(plan.estimate_ * (far ? options_.farFactor_ : 1.0));
+    run.expected_ = plan.service_ ? std::chrono::milliseconds(0) : expected;
+    run.placedAt_ = BootClock::now();
+    return run;
+}
+
 auto FleetScheduler::startUnit(Placement &placement, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, const UnitPlacement &choice) -> void
 {
     auto &job = *ready.job_;
     auto &state = job.occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
     const auto &plan = job.submission_.plan_.steps_[ready.rank_.step_];
-    const auto now = BootClock::now();
     state.waitingSince_ = {};
     // The members of a gang share one run number.
     std::uint32_t gangRun = 0;
     for (const auto index : tasks) {
         gangRun = std::max(gangRun, state.tasks_[index].lastRun_ + 1);
     }
-    const auto expected = std::chrono::duration_cast<std::chrono::milliseconds>(plan.estimate_ * (choice.far_ ? options_.farFactor_ : 1.0));
     for (std::size_t i = 0; i < choice.workers_.size(); ++i) {
         auto &session = *choice.workers_[i];
         const TaskRef ref{job.submission_.id_, ready.rank_.occurrence_, ready.rank_.step_, tasks[i]};
@@ -220,17 +231,9 @@
         task.lastRun_ = plan.gang_ ? gangRun : task.lastRun_ + 1;
         task.worker_ = session.entry_.id_;
         task.workerBorn_ = session.entry_.born_;
-        task.began_ = false;
         ++state.active_;
         ++job.active_;
-        WorkerRun run;
-        run.demand_ = plan.task_;
-        run.priority_ = ready.queue_->priority_;
-        run.members_ = plan.gang_ ? plan.count_ : 1;
-        run.saves_ = plan.checkpoints_;
-        run.expected_ = plan.service_ ? std::chrono::milliseconds(0) : expected;
-        run.placedAt_ = now;
-        sessions_.place(session.entry_.id_, ref, task.lastRun_, run);
+        sessions_.place(session.entry_.id_, ref, task.lastRun_, makeWorkerRun(plan, ready.queue_->priority_, choice.far_));
         placement.take(session, plan.task_);
         pendingStarts_.push_back({ref, task.lastRun_, session.entry_.id_});
     }
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -136,24 +136,16 @@
     }
 }
 
-auto WorkerSessions::adoptRun(const WorkerId &worker, const RecordedRun &run) -> void
+auto WorkerSessions::adoptRun(const WorkerId &worker, std::uint64_t born, const TaskRef &task, std::uint32_t run, WorkerRun state) -> void
 {
-    auto &session = sessionOf(worker);
-    WorkerRun state;
     state.stage_ = RunStage::InDoubt;
-    state.demand_ = run.demand_;
-    state.priority_ = run.priority_;
-    state.members_ = run.members_;
-    state.saves_ = run.saves_;
-    state.expected_ = run.expected_;
-    state.placedAt_ = BootClock::now();
     state.progressAt_ = state.placedAt_;
+    place(worker, task, run, std::move(state));
+    auto &session = sessionOf(worker);
     if (session.entry_.born_ == 0) {
-        session.entry_.born_ = run.born_;
+        session.entry_.born_ = born;
     }
     session.adopted_ = true;
-    session.used_ += run.demand_;
-    session.runs_[{run.task_, run.run_}] = state;
     renew(session);
 }
 
@@ -394,9 +386,7 @@
         .with("born_before", session.entry_.born_)
         .with("born", born)
         .with("runs", session.runs_.size());
-    if (born != 0) {
-        session.entry_.born_ = born;
-    }
+    session.entry_.born_ = born;
     session.endsSeen_ = 0;
     session.endsRecorded_ = 0;
     session.endsAcknowledged_ = 0;
--- a/marjoramfold/dispatch/workersessions.h
+++ b/marjoramfold/dispatch/workersessions.h
@@ -48,18 +48,6 @@
     std::function<void()> roomChanged_;
 };
 
-/// A run that a former leader recorded.
-struct RecordedRun {
-    TaskRef task_;
-    std::uint32_t run_ = 0;
-    std::uint64_t born_ = 0;
-    Demand demand_;
-    int priority_ = 0;
-    std::uint32_t members_ = 1;
-    bool saves_ = false;
-    std::chrono::milliseconds expected_{0};
-};
-
 /// Keeps the leases of all workers with runs, gives orders to them and finds out what became of each.
 ///
 /// Every run is reported as ended exactly once. A run counts against its worker's room until its end is certain: the worker
@@ -84,8 +72,8 @@
     /// Workers whose entries are not among these are removed.
     auto keepOnly(const std::unordered_map<WorkerId, bool> &listed) -> void;
 
-    /// Takes over a run that a former leader recorded; the worker is asked what became of it.
-    auto adoptRun(const WorkerId &worker, const RecordedRun &run) -> void;
+    /// Takes over a run that a former leader recorded for a life of a worker; the worker is asked what became of it.
+    auto adoptRun(const WorkerId &worker, std::uint64_t born, const TaskRef &task, std::uint32_t run, WorkerRun state) -> void;
 
     /// Takes room for a run before it is recorded.
     auto place(const WorkerId &worker, const TaskRef &task, std::uint32_t run, WorkerRun state) -> void;
--- a/marjoramfold/fleet/directory.cpp
+++ b/marjoramfold/fleet/directory.cpp
@@ -53,25 +53,9 @@
     return found == queuesByName_.end() ? nullptr : &queues_[found->second];
 }
 
-auto Directory::poolNamed(const std::string &name) const -> const PoolRule *
-{
-    const auto found = std::find_if(pools_.begin(), pools_.end(), [&name](const PoolRule &pool) {
-        return pool.name_ == name;
-    });
-    return found == pools_.end() ? nullptr : &*found;
-}
-
 auto Directory::teamOfKey(const std::string &key) const -> const TeamRule *
 {
     const auto found = teamsByKey_.find(key);
     return found == teamsByKey_.end() ? nullptr : &teams_[found->second];
 }
-
-auto Directory::team(const TeamId &id) const -> const TeamRule *
-{
-    const auto found = std::find_if(teams_.begin(), teams_.end(), [&id](const TeamRule &team) {
-        return team.id_ == id;
-    });
-    return found == teams_.end() ? nullptr : &*found;
-}
 } // namespace Marjoramfold
--- a/marjoramfold/fleet/directory.h
+++ b/marjoramfold/fleet/directory.h
@@ -26,7 +26,6 @@
     /// A job is on time within this many times its longest chain of work plus the target latency.
     double stretch_ = 1.0;
     std::chrono::milliseconds targetLatency_{0};
-    std::chrono::milliseconds requestTimeout_{0};
     /// Requests need no key.
     bool public_ = false;
     /// Another service must permit each worker first; this version cannot ask it.
@@ -66,15 +65,9 @@
     /// Queue with a name; null when there is none.
     [[nodiscard]] auto queueNamed(const std::string &name) const -> const QueueRule *;
 
-    /// Pool with a name; null when there is none.
-    [[nodiscard]] auto poolNamed(const std::string &name) const -> const PoolRule *;
-
     /// Team that owns a key; null for an unknown key.
     [[nodiscard]] auto teamOfKey(const std::string &key) const -> const TeamRule *;
 
-    /// Team with an id; null when there is none.
-    [[nodiscard]] auto team(const TeamId &id) const -> const TeamRule *;
-
 private:
     std::uint64_t version_ = 0;
     std::vector<QueueRule> queues_;
--- a/marjoramfold/node/jobfeed.cpp
+++ b/marjoramfold/node/jobfeed.cpp
@@ -2,12 +2,11 @@
 
 #include "marjoramfold/dispatch/jobstate.h"
 #include "marjoramfold/observability/logline.h"
+#include "marjoramfold/store/recordcodec.h"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 
 #include <algorithm>
-#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -22,24 +21,14 @@
 /// Claims; renewals and resignations have the instance's name alone.
 constexpr std::string_view ClaimPrefix = "l/claim/";
 
-template<typename Archive>
-auto archiveRecord(Archive &archive, LeadershipRecord &record) -> void
-{
-    archive(record.act_, record.epoch_, record.instance_, record.process_, record.number_);
-}
-
 auto decodeLeadership(const std::string &value) -> std::optional<LeadershipRecord>
 {
-    try {
-        std::istringstream stream(value);
-        cereal::PortableBinaryInputArchive archive(stream);
-        LeadershipRecord record;
-        archiveRecord(archive, record);
-        return record;
-    } catch (const std::exception &exception) {
-        LogLine(LogSeverity::Error, "leadership_record_unreadable").with("reason", exception.what());
+    auto record = decodeRecordValue<LeadershipRecord>(value);
+    if (!isOk(record)) {
+        LogLine(LogSeverity::Error, "leadership_record_unreadable").with("reason", errorOf(record).message_);
         return std::nullopt;
     }
+    return valueOf(std::move(record));
 }
 
 auto key(std::string_view prefix, const std::string &id) -> std::string
@@ -329,14 +318,10 @@
 
 auto JobFeed::leadershipRecord(const LeadershipRecord &record) -> KeyedRecord
 {
-    std::ostringstream stream;
-    cereal::PortableBinaryOutputArchive archive(stream);
-    auto copy = record;
-    archiveRecord(archive, copy);
     const auto own = record.act_ == LeadershipAct::Claim
         ? key(ClaimPrefix, record.instance_ + "/" + std::to_string(record.process_) + "/" + std::to_string(record.number_))
         : key(LeaderPrefix, record.instance_);
-    return {own, std::move(stream).str()};
+    return {own, encodeRecordValue(record)};
 }
 
 auto JobFeed::dropRecords(const JobId &id) -> std::vector<KeyedRecord>
--- a/marjoramfold/node/jobfeed.h
+++ b/marjoramfold/node/jobfeed.h
@@ -52,6 +52,13 @@
     std::uint64_t process_ = 0;
     /// Counts the claims of a process. Each claim has a key of its own, so that a load brings all that may have been valid.
     std::uint64_t number_ = 0;
+
+    /// Serializes the record with cereal.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(act_, epoch_, instance_, process_, number_);
+    }
 };
 
 /// The leader as the records in their order say.
--- /dev/null
+++ b/marjoramfold/store/recordcodec.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "marjoramfold/core/result.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <exception>
+#include <sstream>
+#include <string>
+#include <utility>
+
+namespace Marjoramfold
+{
+/// The value of a record of our own, in cereal's portable binary form.
+template<typename Value>
+[[nodiscard]] auto encodeRecordValue(const Value &value) -> std::string
+{
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(value);
+    return std::move(stream).str();
+}
+
+/// Reads the value of a record of our own. Error: Malformed, for example for a record that is cut off, on which cereal throws.
+template<typename Value>
+[[nodiscard]] auto decodeRecordValue(const std::string &text) -> Result<Value>
+{
+    try {
+        std::istringstream stream(text);
+        cereal::PortableBinaryInputArchive archive(stream);
+        Value value;
+        archive(value);
+        return value;
+    } catch (const std::exception &exception) {
+        return Error{ErrorKind::Malformed, exception.what(), std::nullopt};
+    }
+}
+} // namespace Marjoramfold
