Move work away from workers that leave before it can end

Cause: a draining worker says how long it stays, but its runs were left there until it was gone. Then they lost their work, and the tasks of a worker that could no longer be asked waited for the end of its lease. Change: each tick stops the runs on draining workers that would end after the worker is gone, judged by reported progress; they start elsewhere from what the stop saved. The members of a gang keep the checkpoint of the stopped one, which is newer than that of those who end because of it. Test: 'work moves away from a worker that leaves before the work can end' failed before.

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -314,6 +314,7 @@
     const auto now = BootClock::now();
     sessions_.tick(now);
     findStalls(now);
+    leaveDepartingWorkers(now);
     requestPass();
 }
 
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -44,6 +44,7 @@
     std::uint64_t lostRuns_ = 0;
     std::uint64_t preemptions_ = 0;
     std::uint64_t stalls_ = 0;
+    std::uint64_t moves_ = 0;
     std::uint64_t passes_ = 0;
 };
 
@@ -134,7 +135,13 @@
     auto suspect(WorkerSession &session, const JobId &job, const std::string &reason) -> void;
     auto completeIfDone(JobRecord &job) -> void;
     auto learn(const JobRecord &job, const RunEnded &end) -> void;
+    /// Keeps the newest saved progress; the members of a gang share it.
+    auto keepCheckpoint(StepState &step, const StepPlan &plan, const RunEnded &end) -> void;
+
+    // interventions.cpp: runs that are stopped because they would not come to their end.
     auto findStalls(BootTime now) -> void;
+    auto leaveDepartingWorkers(BootTime now) -> void;
+    [[nodiscard]] auto workLeft(const WorkerRun &run, double ratio, BootTime now) const -> std::chrono::milliseconds;
 
     // startpass.cpp: choosing what starts.
     auto pass() -> void;
--- /dev/null
+++ b/marjoramfold/dispatch/interventions.cpp
@@ -0,0 +1,92 @@
+#include "marjoramfold/dispatch/fleetscheduler.h"
+#include "marjoramfold/observability/logline.h"
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace Marjoramfold
+{
+// Runs that the leader stops before their end, because they would not come to it: runs that stand still, and runs whose worker
+// leaves first.
+
+namespace
+{
+/// Progress from which on the time that a run took so far tells more than its estimate.
+constexpr int TellingPercent = 5;
+} // namespace
+
+auto FleetScheduler::findStalls(BootTime now) -> void
+{
+    std::vector<std::pair<WorkerSession *, RunKey>> stalled;
+    for (const auto &[id, session] : sessions_.all()) {
+        for (const auto &[key, run] : session->runs_) {
+            // Only a worker that answers can show that a run stands still.
+            const auto reported = session->renewedAt_ > run.progressAt_;
+            const auto advances = run.expected_.count() > 0 && run.percent_ < 100;
+            if (run.stage_ == RunStage::Running && advances && reported && now - run.progressAt_ > options_.stallTime_) {
+                stalled.emplace_back(session.get(), key);
+            }
+        }
+    }
+    for (const auto &[session, key] : stalled) {
+        ++counts_.stalls_;
+        LogLine(LogSeverity::Warning, "run_stalled")
+            .job(key.first.job_.value())
+            .with("task", toString(key.first))
+            .with("run", key.second)
+            .with("worker", session->entry_.id_.value())
+            .with("percent", session->runs_.at(key).percent_);
+        if (auto *job = findJob(key.first.job_); job != nullptr) {
+            job->occurrences_[key.first.occurrence_].steps_[key.first.step_].tasks_[key.first.index_].failedOn_.insert(session->entry_.id_);
+        }
+        session->troubledJobs_.insert(JobId("stalled run"));
+        suspect(*session, key.first.job_, "runs stand still");
+        sessions_.stop(session->entry_.id_, key.first, key.second);
+    }
+}
+
+auto FleetScheduler::workLeft(const WorkerRun &run, double ratio, BootTime now) const -> std::chrono::milliseconds
+{
+    const auto left = static_cast<double>(100 - run.percent_);
+    const auto sinceReport = std::chrono::duration_cast<std::chrono::milliseconds>(now - run.progressAt_);
+    // A run that went on from a checkpoint reports more progress than it made itself.
+    if (!run.saves_ && run.percent_ >= TellingPercent) {
+        const auto ranFor = std::chrono::duration_cast<std::chrono::milliseconds>(run.progressAt_ - run.acceptedAt_);
+        return std::chrono::duration_cast<std::chrono::milliseconds>(ranFor * (left / run.percent_)) - sinceReport;
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(run.expected_ * ratio * (left / 100.0)) - sinceReport;
+}
+
+auto FleetScheduler::leaveDepartingWorkers(BootTime now) -> void
+{
+    std::vector<std::pair<WorkerSession *, RunKey>> moving;
+    for (const auto &[id, session] : sessions_.all()) {
+        if (!session->entry_.draining_) {
+            continue;
+        }
+        for (const auto &[key, run] : session->runs_) {
+            const auto *job = findJob(key.first.job_);
+            const auto endsItself = run.expected_.count() > 0;
+            if (job == nullptr || run.stage_ != RunStage::Running || !endsItself) {
+                continue;
+            }
+            if (now + workLeft(run, ratioOf(job->submission_.queue_), now) > session->leavesAt_) {
+                moving.emplace_back(session.get(), key);
+            }
+        }
+    }
+    for (const auto &[session, key] : moving) {
+        const auto &run = session->runs_.at(key);
+        ++counts_.moves_;
+        LogLine(LogSeverity::Info, "run_moved")
+            .job(key.first.job_.value())
+            .with("task", toString(key.first))
+            .with("run", key.second)
+            .with("worker", session->entry_.id_.value())
+            .with("percent", run.percent_)
+            .with("leaves_in_ms", std::chrono::duration_cast<std::chrono::milliseconds>(session->leavesAt_ - now).count());
+        sessions_.stop(session->entry_.id_, key.first, key.second);
+    }
+}
+} // namespace Marjoramfold
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -46,6 +46,8 @@
     std::vector<TaskState> tasks_;
     std::uint32_t done_ = 0;
     std::uint32_t active_ = 0;
+    /// For a gang, the last run that was stopped and so saved all of its progress. Not recorded.
+    std::uint32_t stoppedRun_ = 0;
     /// When the step was last found ready to start but did not fit. Zero when it has not waited.
     BootTime waitingSince_{};
 };
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -68,9 +68,7 @@
     --job->active_;
     touch(*job, end.task_.occurrence_);
     const auto &plan = job->submission_.plan_.steps_[end.task_.step_];
-    if (plan.checkpoints_ && !end.checkpoint_.empty()) {
-        task.checkpoint_ = end.checkpoint_;
-    }
+    keepCheckpoint(step, plan, end);
     if (end.kind_ == EndKind::Done && !plan.service_) {
         learn(*job, end);
         applyDone(*job, end);
@@ -84,6 +82,25 @@
     flush();
 }
 
+auto FleetScheduler::keepCheckpoint(StepState &step, const StepPlan &plan, const RunEnded &end) -> void
+{
+    if (!plan.checkpoints_ || end.checkpoint_.empty()) {
+        return;
+    }
+    if (!plan.gang_) {
+        step.tasks_[end.task_.index_].checkpoint_ = end.checkpoint_;
+        return;
+    }
+    // A stop saves all progress; the members that end because of it list an older value.
+    if (end.kind_ != EndKind::Stopped && step.stoppedRun_ == end.run_) {
+        return;
+    }
+    step.stoppedRun_ = end.kind_ == EndKind::Stopped ? end.run_ : step.stoppedRun_;
+    for (auto &member : step.tasks_) {
+        member.checkpoint_ = end.checkpoint_;
+    }
+}
+
 auto FleetScheduler::applyLateEnd(JobRecord &job, const RunEnded &end) -> void
 {
     auto &step = job.occurrences_[end.task_.occurrence_].steps_[end.task_.step_];
@@ -158,9 +175,6 @@
         if (member.done_) {
             continue;
         }
-        if (!end.checkpoint_.empty()) {
-            member.checkpoint_ = step.tasks_[end.task_.index_].checkpoint_;
-        }
         if (member.isActive() && member.lastRun_ == end.run_) {
             sessions_.stop(member.worker_, {end.task_.job_, end.task_.occurrence_, end.task_.step_, index}, end.run_);
         }
@@ -234,34 +248,4 @@
         .with("jobs", session.troubledJobs_.size())
         .with("for_ms", time.count());
 }
-
-auto FleetScheduler::findStalls(BootTime now) -> void
-{
-    std::vector<std::pair<WorkerSession *, RunKey>> stalled;
-    for (const auto &[id, session] : sessions_.all()) {
-        for (const auto &[key, run] : session->runs_) {
-            // Only a worker that answers can show that a run stands still.
-            const auto reported = session->renewedAt_ > run.progressAt_;
-            const auto advances = run.expected_.count() > 0 && run.percent_ < 100;
-            if (run.stage_ == RunStage::Running && advances && reported && now - run.progressAt_ > options_.stallTime_) {
-                stalled.emplace_back(session.get(), key);
-            }
-        }
-    }
-    for (const auto &[session, key] : stalled) {
-        ++counts_.stalls_;
-        LogLine(LogSeverity::Warning, "run_stalled")
-            .job(key.first.job_.value())
-            .with("task", toString(key.first))
-            .with("run", key.second)
-            .with("worker", session->entry_.id_.value())
-            .with("percent", session->runs_.at(key).percent_);
-        if (auto *job = findJob(key.first.job_); job != nullptr) {
-            job->occurrences_[key.first.occurrence_].steps_[key.first.step_].tasks_[key.first.index_].failedOn_.insert(session->entry_.id_);
-        }
-        session->troubledJobs_.insert(JobId("stalled run"));
-        suspect(*session, key.first.job_, "runs stand still");
-        sessions_.stop(session->entry_.id_, key.first, key.second);
-    }
-}
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -71,6 +71,8 @@
     /// The worker's clock was at least this when its answer arrived.
     std::chrono::milliseconds clock_{0};
     BootTime clockAt_{};
+    /// Earliest time at which a draining worker is gone.
+    BootTime leavesAt_{};
     /// The worker has answered this leader.
     bool answered_ = false;
     /// When this leader first asked; only that question may have extended a lease unheard.
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -101,6 +101,8 @@
         session.clock_ = entry.clock_;
         session.clockAt_ = BootClock::now();
     }
+    // The time that is left counts from when the worker wrote its entry.
+    session.leavesAt_ = session.clockAt_ + (entry.clock_ + entry.remaining_ - session.clock_);
     renew(session);
     if (changed) {
         events_.roomChanged_();
--- a/tests/support/simulatedfleet.cpp
+++ b/tests/support/simulatedfleet.cpp
@@ -189,6 +189,22 @@
     });
 }
 
+auto SimulatedFleet::leave(const WorkerId &id, std::chrono::milliseconds notice) -> void
+{
+    auto &worker = workers_[id];
+    worker.entry_.draining_ = true;
+    worker.entry_.remaining_ = notice;
+    worker.entry_.clock_ = clockOf(worker);
+    if (scheduler_) {
+        scheduler_->updateWorker(worker.entry_);
+    }
+    schedule_.hook()(notice, [this, id] {
+        workers_[id].runs_.clear();
+        workers_[id].reachable_ = false;
+        unlist(id);
+    });
+}
+
 auto SimulatedFleet::unlist(const WorkerId &id) -> void
 {
     if (scheduler_) {
@@ -256,9 +272,10 @@
 
 auto SimulatedFleet::end(SimulatedWorker &worker, const TaskRef &task, EndKind kind) -> void
 {
-    const auto run = worker.runs_.at(task).run_;
+    const auto run = worker.runs_.at(task);
     worker.runs_.erase(task);
-    worker.ends_.push_back({worker.nextEnd_++, task, run, kind, ""});
+    const auto saved = kind == EndKind::Stopped && planOf(task).checkpoints_ ? std::to_string(run.worked_.count()) : std::string();
+    worker.ends_.push_back({worker.nextEnd_++, task, run.run_, kind, saved});
     if (kind == EndKind::Done) {
         worker.unacknowledgedDone_[worker.nextEnd_ - 1] = task;
     }
@@ -358,7 +375,8 @@
         violations_.push_back("two runs at a time at one worker: " + toString(order.task_));
     }
     worker.highestRun_[order.task_] = order.run_;
-    worker.runs_[order.task_] = {order.run_, now_, std::chrono::milliseconds(0), false, std::chrono::milliseconds(0)};
+    const std::chrono::milliseconds saved(order.checkpoint_.empty() ? 0 : std::stoll(order.checkpoint_));
+    worker.runs_[order.task_] = {order.run_, now_, saved, false, std::chrono::milliseconds(0)};
     starts_[order.task_.job_].emplace_back(order.task_, now_);
     answer.outcome_ = OrderOutcome::Accepted;
     return answer;
--- a/tests/support/simulatedfleet.h
+++ b/tests/support/simulatedfleet.h
@@ -66,6 +66,9 @@
     /// Starts a worker anew, under the same id, with nothing of before.
     auto restartWorker(const WorkerId &id) -> void;
 
+    /// A worker announces that it leaves: it is gone, with all that runs there, once the time has passed.
+    auto leave(const WorkerId &id, std::chrono::milliseconds notice) -> void;
+
     /// Takes a worker out of the list.
     auto unlist(const WorkerId &id) -> void;
 
--- a/tests/unit/test_fleetscheduler.cpp
+++ b/tests/unit/test_fleetscheduler.cpp
@@ -298,6 +298,69 @@
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
 
+TEST_CASE("work moves away from a worker that leaves before the work can end", "[dispatch]")
+{
+    // Guards against runs that are kept until their worker is gone: they lose their work and wait for the end of its lease.
+    SimulatedFleet fleet;
+    fillRacks(fleet);
+    auto work = 6'000ms;
+    fleet.work_ = [&work](const TaskRef &) {
+        return work;
+    };
+    auto job = makeSubmission(First.value(), "batch", 1, WholeWorker);
+    job.plan_.steps_[0].estimate_ = 6'000ms;
+    const auto workerOf = [&fleet]() -> WorkerId {
+        for (const auto &id : fleet.workerIds()) {
+            if (!fleet.worker(id).runs_.empty()) {
+                return id;
+            }
+        }
+        return {};
+    };
+
+    SECTION("a task that does not save starts again elsewhere at once")
+    {
+        fleet.submit(job);
+        fleet.advance(1s);
+        fleet.leave(workerOf(), 2s);
+        fleet.advance(7s);
+        CHECK(fleet.phaseOf(First) == JobPhase::Completed);
+    }
+
+    SECTION("a task that saves goes on from where it stopped")
+    {
+        job.plan_.steps_[0].checkpoints_ = true;
+        fleet.submit(job);
+        fleet.advance(3s);
+        fleet.leave(workerOf(), 2s);
+        fleet.advance(3'800ms);
+        CHECK(fleet.phaseOf(First) == JobPhase::Completed);
+    }
+
+    SECTION("a whole gang moves when one of its workers leaves")
+    {
+        job.plan_.steps_[0].count_ = 3;
+        fleet.submit(asGang(job));
+        fleet.advance(1s);
+        fleet.leave(workerOf(), 2s);
+        fleet.advance(7s);
+        CHECK(fleet.phaseOf(First) == JobPhase::Completed);
+    }
+
+    SECTION("a task that will end in time stays")
+    {
+        work = 2'500ms;
+        job.plan_.steps_[0].estimate_ = 2'500ms;
+        fleet.submit(job);
+        fleet.advance(1s);
+        fleet.leave(workerOf(), 2s);
+        fleet.advance(2s);
+        CHECK(fleet.phaseOf(First) == JobPhase::Completed);
+        CHECK(fleet.starts_[First].size() == 1);
+    }
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
+
 TEST_CASE("an order that was on its way when its worker was started again may be carried out by the new life", "[dispatch]")
 {
     // Guards against a task that runs there and elsewhere at the same time; the moment decides, so several are tried.
