Find runs that stand still by the worker's clock, within two looks

Cause: progress was looked at every 2 s and a run was taken for hung after 2.6 s on the leader's clock, so that a hung member held up its gang for 3 to 4.6 s; and a hung run on a leaving worker was taken for nearly done, since the time since its last progress was counted as work. Ruled out: slow workers (a run four times slower, three times away from its data, advances within 1.3 s). Change: renewals wait 1 s for an end; a run stands still when its worker's clock says so for 900 ms or 5% of the expected time, so that a late answer or a frozen leader is not taken for a hung run; such a run on a leaving worker moves. Tests: 'a run that stands still is started elsewhere within three seconds' and 'a task that stands still moves, although it should have ended in time' failed before.

--- a/marjoramfold/dispatch/dispatchoptions.h
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -16,8 +16,8 @@
     std::chrono::milliseconds leaseMargin_{200};
     /// A leader that lost the store goes on renewing leases for this long; its successor counts on it.
     std::chrono::milliseconds renewWithoutStore_{5000};
-    /// Longest wait of a renewal for an end; the platform allows 2 s.
-    std::chrono::milliseconds renewWait_{2000};
+    /// Longest wait of a renewal for an end, and so the time between two looks at a run's progress; the platform allows 2 s.
+    std::chrono::milliseconds renewWait_{1000};
     /// Time for an answer from a worker beyond the wait; answers take 3 to 5 ms when all is well.
     std::chrono::milliseconds orderTimeout_{600};
     /// Pause before an unreachable worker is tried again.
@@ -28,8 +28,10 @@
     std::chrono::milliseconds stopTime_{900};
     /// Guaranteed work has started this long after its acceptance.
     std::chrono::milliseconds reclaimBound_{3400};
-    /// A run whose progress stands still for this long is taken for hung.
-    std::chrono::milliseconds stallTime_{2600};
+    /// A run whose progress stands still for this long, on its worker's clock, is taken for hung: two looks without progress.
+    std::chrono::milliseconds stallTime_{900};
+    /// Slow runs are given this share of their expected time, since progress is listed in whole hundredths.
+    double stallShare_ = 0.05;
     /// First time that a worker is avoided after failures; it doubles each time.
     std::chrono::milliseconds suspectTime_{5000};
     std::chrono::milliseconds longestSuspectTime_{40000};
--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -313,7 +313,7 @@
 {
     const auto now = BootClock::now();
     sessions_.tick(now);
-    findStalls(now);
+    findStalls();
     leaveDepartingWorkers(now);
     requestPass();
 }
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -139,9 +139,10 @@
     auto keepCheckpoint(StepState &step, const StepPlan &plan, const RunEnded &end) -> void;
 
     // interventions.cpp: runs that are stopped because they would not come to their end.
-    auto findStalls(BootTime now) -> void;
+    auto findStalls() -> void;
     auto leaveDepartingWorkers(BootTime now) -> void;
-    [[nodiscard]] auto workLeft(const WorkerRun &run, double ratio, BootTime now) const -> std::chrono::milliseconds;
+    /// Time that a run needs to its end; the maximum when it stands still.
+    [[nodiscard]] static auto workLeft(const WorkerSession &session, const WorkerRun &run, BootTime now) -> std::chrono::milliseconds;
 
     // startpass.cpp: choosing what starts.
     auto pass() -> void;
--- a/marjoramfold/dispatch/interventions.cpp
+++ b/marjoramfold/dispatch/interventions.cpp
@@ -1,6 +1,7 @@
 #include "marjoramfold/dispatch/fleetscheduler.h"
 #include "marjoramfold/observability/logline.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 #include <vector>
@@ -14,17 +15,24 @@
 {
 /// Progress from which on the time that a run took so far tells more than its estimate.
 constexpr int TellingPercent = 5;
+/// A listed progress that is older than this by the worker's clock is not gone on with; listings are some 10 ms apart at least.
+constexpr std::chrono::milliseconds StandingStill{500};
+
+/// How long a run had not advanced when its worker last listed it, on the worker's clock.
+auto stoodStillFor(const WorkerSession &session, const WorkerRun &run) -> std::chrono::milliseconds
+{
+    return session.listedClock_ - run.progressClock_;
+}
 } // namespace
 
-auto FleetScheduler::findStalls(BootTime now) -> void
+auto FleetScheduler::findStalls() -> void
 {
     std::vector<std::pair<WorkerSession *, RunKey>> stalled;
     for (const auto &[id, session] : sessions_.all()) {
         for (const auto &[key, run] : session->runs_) {
-            // Only a worker that answers can show that a run stands still.
-            const auto reported = session->renewedAt_ > run.progressAt_;
+            const auto share = std::chrono::duration_cast<std::chrono::milliseconds>(run.expected_ * options_.stallShare_);
             const auto advances = run.expected_.count() > 0 && run.percent_ < 100;
-            if (run.stage_ == RunStage::Running && advances && reported && now - run.progressAt_ > options_.stallTime_) {
+            if (run.stage_ == RunStage::Running && advances && stoodStillFor(*session, run) > std::max(options_.stallTime_, share)) {
                 stalled.emplace_back(session.get(), key);
             }
         }
@@ -46,8 +54,11 @@
     }
 }
 
-auto FleetScheduler::workLeft(const WorkerRun &run, double ratio, BootTime now) const -> std::chrono::milliseconds
+auto FleetScheduler::workLeft(const WorkerSession &session, const WorkerRun &run, BootTime now) -> std::chrono::milliseconds
 {
+    if (stoodStillFor(session, run) > StandingStill) {
+        return std::chrono::milliseconds::max();
+    }
     const auto left = static_cast<double>(100 - run.percent_);
     const auto sinceReport = std::chrono::duration_cast<std::chrono::milliseconds>(now - run.progressAt_);
     // A run that went on from a checkpoint reports more progress than it made itself.
@@ -55,7 +66,7 @@
         const auto ranFor = std::chrono::duration_cast<std::chrono::milliseconds>(run.progressAt_ - run.acceptedAt_);
         return std::chrono::duration_cast<std::chrono::milliseconds>(ranFor * (left / run.percent_)) - sinceReport;
     }
-    return std::chrono::duration_cast<std::chrono::milliseconds>(run.expected_ * ratio * (left / 100.0)) - sinceReport;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(run.expected_ * (left / 100.0)) - sinceReport;
 }
 
 auto FleetScheduler::leaveDepartingWorkers(BootTime now) -> void
@@ -66,12 +77,11 @@
             continue;
         }
         for (const auto &[key, run] : session->runs_) {
-            const auto *job = findJob(key.first.job_);
             const auto endsItself = run.expected_.count() > 0;
-            if (job == nullptr || run.stage_ != RunStage::Running || !endsItself) {
+            if (run.stage_ != RunStage::Running || !endsItself) {
                 continue;
             }
-            if (now + workLeft(run, ratioOf(job->submission_.queue_), now) > session->leavesAt_) {
+            if (workLeft(*session, run, now) > session->leavesAt_ - now) {
                 moving.emplace_back(session.get(), key);
             }
         }
--- a/marjoramfold/dispatch/workerrenewals.cpp
+++ b/marjoramfold/dispatch/workerrenewals.cpp
@@ -122,6 +122,7 @@
 
 auto WorkerSessions::onReport(WorkerSession &session, BootTime sentAt, std::uint64_t token, const WorkerReport &report) -> void
 {
+    session.listedClock_ = report.clock_;
     std::set<RunKey> listed;
     for (const auto &run : report.running_) {
         listed.emplace(run.task_, run.run_);
@@ -160,6 +161,7 @@
     if (listed.percent_ != run.percent_) {
         run.percent_ = listed.percent_;
         run.progressAt_ = now;
+        run.progressClock_ = session.clock_;
     }
     if (!listed.checkpoint_.empty()) {
         run.checkpoint_ = listed.checkpoint_;
@@ -168,6 +170,7 @@
         run.stage_ = RunStage::Running;
         run.acceptedAt_ = now;
         run.progressAt_ = now;
+        run.progressClock_ = session.clock_;
         events_.began_(session.entry_.id_, listed.task_, listed.run_);
     }
 }
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -48,6 +48,8 @@
     /// When the worker's acceptance arrived; a list asked for earlier may lack the run.
     BootTime acceptedAt_{};
     BootTime progressAt_{};
+    /// The worker's clock when it listed the progress; its own time tells a run that stands still from an answer that was late.
+    std::chrono::milliseconds progressClock_{0};
     int percent_ = 0;
     std::string checkpoint_;
     /// When the last stop was sent.
@@ -71,6 +73,8 @@
     /// The worker's clock was at least this when its answer arrived.
     std::chrono::milliseconds clock_{0};
     BootTime clockAt_{};
+    /// The worker's clock when it last listed its runs.
+    std::chrono::milliseconds listedClock_{0};
     /// Earliest time at which a draining worker is gone.
     BootTime leavesAt_{};
     /// The worker has answered this leader.
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -241,6 +241,7 @@
     case OrderOutcome::Accepted:
         state.acceptedAt_ = BootClock::now();
         state.progressAt_ = state.acceptedAt_;
+        state.progressClock_ = session->clock_;
         if (state.stage_ == RunStage::Ordered || state.stage_ == RunStage::InDoubt) {
             state.stage_ = RunStage::Running;
             events_.began_(id, key.first, key.second);
--- a/tests/unit/test_fleetscheduler.cpp
+++ b/tests/unit/test_fleetscheduler.cpp
@@ -347,6 +347,20 @@
         CHECK(fleet.phaseOf(First) == JobPhase::Completed);
     }
 
+    SECTION("a task that stands still moves, although it should have ended in time")
+    {
+        work = 2'500ms;
+        job.plan_.steps_[0].estimate_ = 2'500ms;
+        fleet.submit(job);
+        fleet.advance(1'500ms);
+        const auto leaving = workerOf();
+        fleet.worker(leaving).hangs_ = true;
+        fleet.advance(1'100ms);
+        fleet.leave(leaving, 1'500ms);
+        fleet.advance(3'800ms);
+        CHECK(fleet.phaseOf(First) == JobPhase::Completed);
+    }
+
     SECTION("a task that will end in time stays")
     {
         work = 2'500ms;
@@ -460,6 +474,28 @@
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
 
+TEST_CASE("a run that stands still is started elsewhere within three seconds", "[dispatch]")
+{
+    // Guards against hung runs that hold up a whole gang until several leases have passed.
+    SimulatedFleet fleet;
+    fillRacks(fleet);
+    fleet.work_ = [](const TaskRef &) {
+        return 4'000ms;
+    };
+    auto job = makeSubmission(First.value(), "batch", 1, WholeWorker);
+    job.plan_.steps_[0].estimate_ = 4'000ms;
+    fleet.submit(job);
+    fleet.advance(1'700ms);
+    for (const auto &id : fleet.workerIds()) {
+        fleet.worker(id).hangs_ = !fleet.worker(id).runs_.empty();
+    }
+    fleet.advance(3s);
+    CHECK(fleet.starts_[First].size() == 2);
+    fleet.advance(4s);
+    CHECK(fleet.phaseOf(First) == JobPhase::Completed);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
+
 TEST_CASE("nothing is ordered before its record is stored", "[dispatch]")
 {
     SimulatedFleet fleet;
