Send gangs and urgent work to workers whose runs got on lately

Ruled out: avoiding workers with failures alone; most bad workers have not failed anything yet when a gang meets them. Change: among workers with room, gangs and urgent tasks take those where a run advanced or was done within the last 4 s, and the rack with the fewest others; after that the fullest, as before. Test: 'gangs and urgent work go where runs got on last' fails without the order.

--- a/marjoramfold/dispatch/placement.cpp
+++ b/marjoramfold/dispatch/placement.cpp
@@ -18,6 +18,9 @@
 /// What a restart costs besides the work that is not saved: the stop, the wait for room and the restore.
 constexpr double RestartSeconds = 1.0;
 
+/// Runs that got on at a worker this long ago tell that it is sound; trouble that leaves health checks good lasts some 5 s.
+constexpr std::chrono::milliseconds ProofAge{4000};
+
 /// How many tasks of a demand fit into room, at most a limit.
 auto fitting(Demand room, const Demand &task, std::uint32_t limit) -> std::uint32_t
 {
@@ -124,7 +127,11 @@
             order.emplace_back(fits, candidate);
         }
     }
-    std::stable_sort(order.begin(), order.end(), [](const auto &left, const auto &right) {
+    const auto careful = isCareful(need);
+    std::stable_sort(order.begin(), order.end(), [this, careful](const auto &left, const auto &right) {
+        if (careful && isProven(*left.second) != isProven(*right.second)) {
+            return isProven(*left.second);
+        }
         return left.second->room_.accelerators_ < right.second->room_.accelerators_;
     });
     std::vector<WorkerSession *> workers;
@@ -138,8 +145,7 @@
 
 auto Placement::findRoom(const UnitNeed &need, bool near) -> std::optional<UnitPlacement>
 {
-    // One bad worker fails a whole gang, and urgent work has no time for a second try: both go where nothing failed last.
-    if (need.step_->gang_ || need.priority_ == 0) {
+    if (isCareful(need)) {
         if (auto choice = findRoomIn(groupsFor(need, near, true), need, near); choice) {
             return choice;
         }
@@ -150,7 +156,7 @@
 auto Placement::findRoomIn(const std::vector<Group> &groups, const UnitNeed &need, bool near) const -> std::optional<UnitPlacement>
 {
     std::optional<UnitPlacement> best;
-    std::int64_t bestRoom = 0;
+    std::pair<std::size_t, std::int64_t> bestMark;
     for (const auto &group : groups) {
         auto workers = fill(group, need);
         if (workers.empty() || (need.step_->gang_ && workers.size() < need.count_)) {
@@ -161,9 +167,13 @@
         for (const auto *candidate : group) {
             room += candidate->room_.accelerators_;
         }
-        if (!best || room < bestRoom) {
+        const auto unproven = std::count_if(workers.begin(), workers.end(), [this, &need](const WorkerSession *worker) {
+            return isCareful(need) && now_ - worker->provenAt_ > ProofAge;
+        });
+        const std::pair mark(static_cast<std::size_t>(unproven), room);
+        if (!best || mark < bestMark) {
             best = UnitPlacement{std::move(workers), !near, {}};
-            bestRoom = room;
+            bestMark = mark;
         }
     }
     return best;
@@ -282,6 +292,16 @@
     return false;
 }
 
+auto Placement::isCareful(const UnitNeed &need) -> bool
+{
+    return need.step_->gang_ || need.priority_ == 0;
+}
+
+auto Placement::isProven(const Candidate &candidate) const -> bool
+{
+    return now_ - candidate.session_->provenAt_ <= ProofAge;
+}
+
 auto Placement::isIdle(const Candidate &candidate) -> bool
 {
     return candidate.room_ == candidate.session_->entry_.capacity_;
--- a/marjoramfold/dispatch/placement.h
+++ b/marjoramfold/dispatch/placement.h
@@ -88,6 +88,10 @@
 
     [[nodiscard]] static auto isIdle(const Candidate &candidate) -> bool;
 
+    /// One bad worker fails a whole gang, and urgent work has no time for a second try: both go where runs got on last.
+    [[nodiscard]] static auto isCareful(const UnitNeed &need) -> bool;
+    [[nodiscard]] auto isProven(const Candidate &candidate) const -> bool;
+
     std::vector<Candidate> candidates_;
     std::size_t idleWorkers_ = 0;
     /// Idle workers that only urgent work may take.
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -220,6 +220,7 @@
         return;
     }
     if (end.kind_ == EndKind::Done) {
+        session->provenAt_ = BootClock::now();
         session->troubledJobs_.clear();
         session->timesSuspect_ = 0;
     } else if (end.kind_ == EndKind::Failed) {
--- a/marjoramfold/dispatch/workerrenewals.cpp
+++ b/marjoramfold/dispatch/workerrenewals.cpp
@@ -161,6 +161,7 @@
     if (listed.percent_ != run.percent_) {
         run.percent_ = listed.percent_;
         run.progressAt_ = now;
+        session.provenAt_ = now;
         run.progressClock_ = session.clock_;
     }
     if (!listed.checkpoint_.empty()) {
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -88,6 +88,8 @@
     BootTime renewedAt_{};
     /// First failure of the failing calls in progress; zero when the last call was answered.
     BootTime failingSince_{};
+    /// Last sign that runs get on there: progress or a run that was done.
+    BootTime provenAt_{};
     /// Jobs whose tasks failed or stood still there since the last success.
     std::set<JobId> troubledJobs_;
     unsigned timesSuspect_ = 0;
--- a/tests/unit/test_fleetscheduler.cpp
+++ b/tests/unit/test_fleetscheduler.cpp
@@ -567,3 +567,45 @@
         CHECK(fleet.violations_ == std::vector<std::string>{});
     }
 }
+
+TEST_CASE("gangs and urgent work go where runs got on last", "[dispatch]")
+{
+    // Guards against gangs on workers that stall or fail what they start while they look sound.
+    const auto now = BootTime(100s);
+    std::unordered_map<WorkerId, std::unique_ptr<WorkerSession>> sessions;
+    const auto add = [&](const std::string &id, const std::string &rack, std::uint32_t used, BootTime provenAt) {
+        auto &session = sessions[WorkerId(id)];
+        session = std::make_unique<WorkerSession>();
+        session->entry_.id_ = WorkerId(id);
+        session->entry_.pool_ = "pool";
+        session->entry_.rack_ = RackId(rack);
+        session->entry_.capacity_ = {128'000, 524'288, 8};
+        session->used_ = {0, 0, used};
+        session->provenAt_ = provenAt;
+    };
+    for (const auto *id : {"a1", "a2"}) {
+        add(id, "rack-a", 4, now - 60s);
+    }
+    for (const auto *id : {"b1", "b2"}) {
+        add(id, "rack-b", 1, now - 1s);
+    }
+    Placement placement(sessions, {}, now);
+    auto submission = asGang(makeSubmission(First.value(), "batch", 2, Small));
+    UnitNeed need{&submission.plan_.steps_[0], "pool", 2, 1, {}, {}};
+
+    SECTION("a gang takes the rack whose workers are proven, although the other one is fuller")
+    {
+        const auto choice = placement.findRoom(need, true);
+        REQUIRE(choice);
+        CHECK(choice->workers_.front()->entry_.rack_ == RackId("rack-b"));
+    }
+
+    SECTION("a single task of other work fills the fuller worker")
+    {
+        submission.plan_.steps_[0].gang_ = false;
+        need.count_ = 1;
+        const auto choice = placement.findRoom(need, true);
+        REQUIRE(choice);
+        CHECK(choice->workers_.front()->entry_.rack_ == RackId("rack-a"));
+    }
+}
