Keep workers for blocked gangs only in a busy service, and blame nobody for a gang that waits

Cause 1: workers kept free for up to two blocked gangs stopped all other work there, also when most of the service was idle. Change: workers are kept only while more than 65% of the accelerators are in use. A step that waits logs what it finds. Cause 2: members of a gang that waited for one in doubt were taken for hung since the shorter stall time, and their workers were avoided. Change: they are stopped without blame. Tests: 'workers kept free for a blocked gang do not stop other work while most of the service is idle' and 'a gang that waits for a member in doubt gives up its room, and nobody is blamed' failed before.

--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -140,6 +140,8 @@
 
     // interventions.cpp: runs that are stopped because they would not come to their end.
     auto findStalls() -> void;
+    /// True for a member of a gang that has not begun to work because another member is missing.
+    [[nodiscard]] auto waitsForGang(const RunKey &key, const WorkerRun &run) -> bool;
     auto leaveDepartingWorkers(BootTime now) -> void;
     /// Time that a run needs to its end; the maximum when it stands still.
     [[nodiscard]] static auto workLeft(const WorkerSession &session, const WorkerRun &run, BootTime now) -> std::chrono::milliseconds;
@@ -152,6 +154,7 @@
     auto placeUnit(Placement &placement, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, unsigned &reservations) -> void;
     [[nodiscard]] auto needOf(const ReadyStep &ready, const std::vector<std::uint32_t> &tasks) -> UnitNeed;
     [[nodiscard]] auto chooseRoom(Placement &placement, const ReadyStep &ready, const UnitNeed &need, unsigned &reservations) -> std::optional<UnitPlacement>;
+    auto logWait(const Placement &placement, const ReadyStep &ready, const UnitNeed &need) -> void;
     auto preempt(Placement &placement, const ReadyStep &ready, const UnitPlacement &choice) -> void;
     auto startUnit(Placement &placement, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, const UnitPlacement &choice) -> void;
     /// A run of a step that takes room at a worker from now on.
--- a/marjoramfold/dispatch/interventions.cpp
+++ b/marjoramfold/dispatch/interventions.cpp
@@ -25,18 +25,48 @@
 }
 } // namespace
 
+auto FleetScheduler::waitsForGang(const RunKey &key, const WorkerRun &run) -> bool
+{
+    if (run.members_ <= 1 || run.percent_ > 0) {
+        return false;
+    }
+    const auto *job = findJob(key.first.job_);
+    if (job == nullptr) {
+        return false;
+    }
+    const auto &tasks = job->occurrences_[key.first.occurrence_].steps_[key.first.step_].tasks_;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        const TaskRef member{key.first.job_, key.first.occurrence_, key.first.step_, index};
+        const auto *session = tasks[index].isActive() ? sessions_.find(tasks[index].worker_) : nullptr;
+        const auto found = session == nullptr ? std::map<RunKey, WorkerRun>::const_iterator{} : session->runs_.find({member, key.second});
+        if (session == nullptr || found == session->runs_.end() || found->second.stage_ != RunStage::Running) {
+            return true;
+        }
+    }
+    return false;
+}
+
 auto FleetScheduler::findStalls() -> void
 {
     std::vector<std::pair<WorkerSession *, RunKey>> stalled;
+    std::vector<std::pair<WorkerSession *, RunKey>> waiting;
     for (const auto &[id, session] : sessions_.all()) {
         for (const auto &[key, run] : session->runs_) {
             const auto share = std::chrono::duration_cast<std::chrono::milliseconds>(run.expected_ * options_.stallShare_);
             const auto advances = run.expected_.count() > 0 && run.percent_ < 100;
             if (run.stage_ == RunStage::Running && advances && stoodStillFor(*session, run) > std::max(options_.stallTime_, share)) {
-                stalled.emplace_back(session.get(), key);
+                (waitsForGang(key, run) ? waiting : stalled).emplace_back(session.get(), key);
             }
         }
     }
+    for (const auto &[session, key] : waiting) {
+        LogLine(LogSeverity::Info, "gang_waits_for_member")
+            .job(key.first.job_.value())
+            .with("task", toString(key.first))
+            .with("run", key.second)
+            .with("worker", session->entry_.id_.value());
+        sessions_.stop(session->entry_.id_, key.first, key.second);
+    }
     for (const auto &[session, key] : stalled) {
         ++counts_.stalls_;
         LogLine(LogSeverity::Warning, "run_stalled")
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -50,6 +50,8 @@
     std::uint32_t stoppedRun_ = 0;
     /// When the step was last found ready to start but did not fit. Zero when it has not waited.
     BootTime waitingSince_{};
+    /// When its wait was last logged.
+    BootTime waitLoggedAt_{};
 };
 
 /// One time that the steps of a job run.
--- a/marjoramfold/dispatch/placement.cpp
+++ b/marjoramfold/dispatch/placement.cpp
@@ -292,6 +292,34 @@
     return false;
 }
 
+auto Placement::usedShare() const -> double
+{
+    std::int64_t capacity = 0;
+    std::int64_t room = 0;
+    for (const auto &candidate : candidates_) {
+        capacity += candidate.session_->entry_.capacity_.accelerators_;
+        room += candidate.room_.accelerators_;
+    }
+    return capacity == 0 ? 0.0 : 1.0 - static_cast<double>(room) / static_cast<double>(capacity);
+}
+
+auto Placement::roomFor(const UnitNeed &need) const -> RoomView
+{
+    RoomView view;
+    for (const auto &candidate : candidates_) {
+        if (!eligible(candidate, need)) {
+            continue;
+        }
+        ++view.suitable_;
+        if (candidate.room_.covers(need.step_->task_)) {
+            ++view.withRoom_;
+            view.reserved_ += candidate.reserved_ ? 1 : 0;
+            view.idle_ += isIdle(candidate) ? 1 : 0;
+        }
+    }
+    return view;
+}
+
 auto Placement::isCareful(const UnitNeed &need) -> bool
 {
     return need.step_->gang_ || need.priority_ == 0;
--- a/marjoramfold/dispatch/placement.h
+++ b/marjoramfold/dispatch/placement.h
@@ -38,6 +38,17 @@
     std::vector<std::pair<WorkerSession *, RunKey>> victims_;
 };
 
+/// What a unit without room finds, for logs. Counts of workers.
+struct RoomView {
+    /// May run it when they are empty.
+    std::size_t suitable_ = 0;
+    /// Have room for one of its tasks now.
+    std::size_t withRoom_ = 0;
+    /// Of those, kept for other units.
+    std::size_t reserved_ = 0;
+    std::size_t idle_ = 0;
+};
+
 /// Chooses workers for units, on what the sessions say at the moment.
 class Placement
 {
@@ -56,6 +67,12 @@
     /// Workers on which a blocked gang will find room soonest when nothing else starts there; empty when there are none.
     [[nodiscard]] auto findReservation(const UnitNeed &need, bool near) -> std::vector<WorkerSession *>;
 
+    /// Share of the accelerators of the usable workers that is in use, from 0 to 1.
+    [[nodiscard]] auto usedShare() const -> double;
+
+    /// What the unit finds now.
+    [[nodiscard]] auto roomFor(const UnitNeed &need) const -> RoomView;
+
     /// True when the pool as it is could hold the unit without a slowdown, if it were empty.
     [[nodiscard]] auto couldBeNear(const UnitNeed &need) -> bool;
 
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -10,10 +10,15 @@
 {
 /// Blocked gangs for which workers are kept free at a time; more would leave too much idle.
 constexpr unsigned MostReservations = 2;
+/// Workers are kept free only above this use of the accelerators: below it other work must never wait for a blocked gang.
+constexpr double ReserveAboveUse = 0.65;
 /// A gang that has waited this long gets workers kept free.
 constexpr std::chrono::milliseconds ReserveAfter{1500};
 /// Kept from the bound for urgent starts, for the record, the orders and the answers to the stops.
 constexpr std::chrono::milliseconds StartReserve{900};
+/// A step that waits is logged after this time, and then at this pause, so that a full service writes a bounded number of lines.
+constexpr std::chrono::milliseconds FirstWaitLine{2000};
+constexpr std::chrono::milliseconds WaitLinePause{5000};
 /// Share of the slowdown's cost that a unit waits for a near place before it goes to a far one.
 constexpr double FarPatience = 0.5;
 } // namespace
@@ -155,7 +160,8 @@
             }
         }
     }
-    if (plan.gang_ && waited > ReserveAfter && reservations < MostReservations && ready.rank_.lateness_ < 2) {
+    const auto deserves = plan.gang_ && waited > ReserveAfter && ready.rank_.lateness_ < 2;
+    if (deserves && reservations < MostReservations && placement.usedShare() > ReserveAboveUse) {
         ++reservations;
         for (auto *session : placement.findReservation(need, couldBeNear)) {
             placement.reserve(*session);
@@ -169,6 +175,7 @@
     const auto need = needOf(ready, tasks);
     const auto choice = chooseRoom(placement, ready, need, reservations);
     if (!choice) {
+        logWait(placement, ready, need);
         return;
     }
     if (!choice->victims_.empty()) {
@@ -178,6 +185,31 @@
     startUnit(placement, ready, tasks, *choice);
 }
 
+auto FleetScheduler::logWait(const Placement &placement, const ReadyStep &ready, const UnitNeed &need) -> void
+{
+    auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
+    const auto now = BootClock::now();
+    if (now - state.waitingSince_ < FirstWaitLine || now - state.waitLoggedAt_ < WaitLinePause) {
+        return;
+    }
+    state.waitLoggedAt_ = now;
+    const auto room = placement.roomFor(need);
+    LogLine(LogSeverity::Info, "step_waits")
+        .job(ready.job_->submission_.id_.value())
+        .with("occurrence", ready.rank_.occurrence_)
+        .with("step", ready.rank_.step_)
+        .with("queue", ready.queue_->name_)
+        .with("tasks", need.count_)
+        .with("gang", need.step_->gang_)
+        .with("lateness", ready.rank_.lateness_)
+        .with("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - state.waitingSince_).count())
+        .with("suitable", room.suitable_)
+        .with("with_room", room.withRoom_)
+        .with("reserved", room.reserved_)
+        .with("idle", room.idle_)
+        .with("avoided", need.avoid_.size());
+}
+
 auto FleetScheduler::preempt(Placement &placement, const ReadyStep &ready, const UnitPlacement &choice) -> void
 {
     for (const auto &[session, key] : choice.victims_) {
--- a/tests/unit/test_fleetscheduler.cpp
+++ b/tests/unit/test_fleetscheduler.cpp
@@ -192,6 +192,29 @@
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
 
+TEST_CASE("workers kept free for a blocked gang do not stop other work while most of the service is idle", "[dispatch]")
+{
+    // Guards against jobs that find nothing but reserved workers for as long as a wide gang waits for one run to end.
+    SimulatedFleet fleet;
+    fillRacks(fleet);
+    fleet.work_ = [](const TaskRef &task) {
+        return task.job_ == First ? 30'000ms : 2'000ms;
+    };
+    auto longRun = makeSubmission(First.value(), "batch", 1, Small);
+    longRun.plan_.steps_[0].estimate_ = 30'000ms;
+    fleet.submit(longRun);
+    fleet.advance(100ms);
+    auto wide = makeSubmission(Second.value(), "batch", 6, WholeWorker);
+    wide.plan_.steps_[0].gang_ = true;
+    fleet.submit(wide);
+    fleet.advance(2s);
+    const JobId third("00000000000000a3");
+    fleet.submit(asGang(makeSubmission(third.value(), "batch", 2, WholeWorker)));
+    fleet.advance(3s);
+    CHECK(fleet.phaseOf(third) == JobPhase::Completed);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
+
 TEST_CASE("a job whose task keeps failing ends as failed, after its attempts", "[dispatch]")
 {
     SimulatedFleet fleet;
@@ -474,6 +497,32 @@
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
 
+TEST_CASE("a gang that waits for a member in doubt gives up its room, and nobody is blamed", "[dispatch]")
+{
+    // Guards against sound workers that are taken for hung because the other members of their gang are missing.
+    SimulatedFleet fleet;
+    fleet.mayWaitAlone_ = true;
+    fillRacks(fleet);
+    const auto lost = WorkerId("w-r1-1-0");
+    fleet.evacuated_.insert("zone-2");
+    fleet.worker(lost).reachable_ = false;
+    auto job = asGang(makeSubmission(First.value(), "batch", 3, WholeWorker));
+    fleet.submit(job);
+    fleet.advance(2'500ms);
+    CHECK(fleet.runningTasks() == 0);
+    for (const auto *id : {"w-r1-1-1", "w-r1-1-2"}) {
+        const auto *session = fleet.scheduler_->sessions().find(WorkerId(id));
+        REQUIRE(session != nullptr);
+        CHECK(session->suspectUntil_ == BootTime{});
+        CHECK(session->troubledJobs_.empty());
+    }
+    CHECK(fleet.scheduler_->counts().stalls_ == 0);
+    fleet.evacuated_.clear();
+    fleet.advance(12s);
+    CHECK(fleet.phaseOf(First) == JobPhase::Completed);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
+
 TEST_CASE("a run that stands still is started elsewhere within three seconds", "[dispatch]")
 {
     // Guards against hung runs that hold up a whole gang until several leases have passed.
