Tell sooner that the store cannot be reached

Reads that wait heard nothing for a second while the store dropped its history. Change: an instance that has heard nothing newer than 1 s from either stream is not ready; an append without an answer for 600 ms is asked after by a read, and is answered as unknown when that gets no answer either within 600 ms; a slow store is still waited for. A leader's reads of the feed wait 200 ms at most. Reads in a hurry are 30 ms apart. Tests: 'an instance that has not heard from the store sends new callers elsewhere' and 'the store answers nothing at all: the caller may go elsewhere soon' failed before.

--- a/marjoramfold/node/frontdoor.cpp
+++ b/marjoramfold/node/frontdoor.cpp
@@ -80,7 +80,9 @@
 auto FrontDoor::isReady() const -> bool
 {
     const auto now = BootClock::now();
-    return view_.directory().version() != 0 && follower_->isLoaded() && now - view_.currentAsOf() < options_.oldestView_ && !storeIsSilent();
+    const auto heardAt = std::max(view_.currentAsOf(), follower_->currentAsOf());
+    const auto decides = view_.directory().version() != 0 && follower_->isLoaded() && now - view_.currentAsOf() < options_.oldestView_;
+    return decides && now - heardAt < options_.storeUnheard_ && !storeIsSilent();
 }
 
 auto FrontDoor::admit(const CallerCall &call) const -> Result<Admitted>
@@ -204,8 +206,19 @@
                                   answer(unavailable("another process of this instance has taken over"));
                               }
                           });
-    schedule_(std::max(ShortestPatience, patience - options_.answerReserve_), [answer] {
+    const auto timeOut = [answer] {
         answer(Error{ErrorKind::Timeout, "the store has not answered; the request may have been stored", std::nullopt});
+    };
+    schedule_(std::max(ShortestPatience, patience - options_.answerReserve_), timeOut);
+    // Behind a slow store the answer is worth the wait; behind one that cannot be reached the caller does better elsewhere.
+    schedule_(options_.appendDoubt_, [this, once, timeOut] {
+        if (*once) {
+            follower_->whenCurrent(options_.appendProbe_, [timeOut](bool current) {
+                if (!current) {
+                    timeOut();
+                }
+            });
+        }
     });
 }
 
--- a/marjoramfold/node/frontdoor.h
+++ b/marjoramfold/node/frontdoor.h
@@ -21,12 +21,18 @@
 struct FrontDoorOptions {
     /// A view of the operators' configuration older than this decides nothing: a key may have been taken away since.
     std::chrono::milliseconds oldestView_{3000};
+    /// An instance that has heard nothing newer from the store sends new callers elsewhere. With a leader at work the feed is read
+    /// every 600 ms and answered some 10 ms later.
+    std::chrono::milliseconds storeUnheard_{1000};
     /// When a caller that was refused should come back.
     std::chrono::milliseconds retryAfter_{1000};
     /// Kept from a caller's patience for the way of the answer.
     std::chrono::milliseconds answerReserve_{300};
     /// A submission that could not be sent to the store by then is refused, so that the caller can go elsewhere.
     std::chrono::milliseconds longestQueueing_{400};
+    /// An append without an answer for this long, some 50 times what it takes, is in doubt: a read shows whether the store answers.
+    std::chrono::milliseconds appendDoubt_{600};
+    std::chrono::milliseconds appendProbe_{600};
     /// An append without an answer for this long means that the store cannot be reached.
     std::chrono::milliseconds storeSilence_{1200};
     /// A question about a running job waits this long for its end: callers ask when they expect it, and the end takes some
--- a/marjoramfold/node/instance.cpp
+++ b/marjoramfold/node/instance.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds CheckInterval{100};
 /// Pause between reads of the feed by an instance that does not lead; a caller's question about a running job reads at once.
 constexpr std::chrono::milliseconds FollowerPace{600};
+/// Longest wait of a leader's read for records. The store may leave waiting reads without news for a second.
+constexpr std::chrono::milliseconds LeaderReadWait{200};
 /// The balancer needs two failed checks, a second apart, to send nothing more to an instance.
 constexpr std::chrono::milliseconds DrainNotice{2300};
 /// Left of the grace for the end itself.
@@ -299,7 +301,7 @@
             election_->vacate();
         });
     };
-    feedFollower_->setPace(std::chrono::milliseconds(0));
+    feedFollower_->setRhythm(std::chrono::milliseconds(0), LeaderReadWait);
     leader_ = std::make_shared<LeaderRuntime>(std::move(context), epoch, feed_);
     leader_->start();
 }
@@ -317,7 +319,7 @@
 
 auto Instance::stopLeading() -> void
 {
-    feedFollower_->setPace(FollowerPace);
+    feedFollower_->setRhythm(FollowerPace, FollowerOptions().wait_);
     if (leader_) {
         leader_->stop();
         // Callbacks on the way still hold it; they find it stopped.
--- a/marjoramfold/store/streamfollower.cpp
+++ b/marjoramfold/store/streamfollower.cpp
@@ -27,9 +27,10 @@
     waiters_.clear();
 }
 
-auto StreamFollower::setPace(std::chrono::milliseconds pace) -> void
+auto StreamFollower::setRhythm(std::chrono::milliseconds pace, std::chrono::milliseconds wait) -> void
 {
     options_.pace_ = pace;
+    options_.wait_ = wait;
 }
 
 auto StreamFollower::currentAsOf() const -> BootTime
@@ -166,10 +167,10 @@
     if (stopped_) {
         return;
     }
-    const auto paced = options_.pace_.count() > 0 && BootClock::now() >= hurryUntil_;
-    if (brought && reachedEnd && waiters_.empty() && paced) {
+    const auto pace = BootClock::now() < hurryUntil_ ? std::min(options_.pace_, options_.hurriedPace_) : options_.pace_;
+    if (brought && reachedEnd && waiters_.empty() && pace.count() > 0) {
         pacing_ = true;
-        after(options_.pace_, &StreamFollower::read);
+        after(pace, &StreamFollower::read);
     } else {
         read();
     }
--- a/marjoramfold/store/streamfollower.h
+++ b/marjoramfold/store/streamfollower.h
@@ -18,6 +18,8 @@
     std::chrono::milliseconds wait_{1200};
     /// Pause after a read that brought records; it bounds the calls to the store.
     std::chrono::milliseconds pace_{0};
+    /// Pause while records are waited for in a hurry.
+    std::chrono::milliseconds hurriedPace_{30};
     /// Longest delay of an answer beyond the wait.
     std::chrono::milliseconds answerTimeout_{700};
     std::chrono::milliseconds retryPause_{100};
@@ -41,14 +43,14 @@
     /// Ends all activity.
     auto stop() -> void;
 
-    /// Reads at once instead of waiting for the pace, and keeps no pace for a time; a caller's answer depends on the newest records.
+    /// Reads at once instead of waiting for the pace, and keeps a short one for a time; a caller's answer depends on the newest records.
     auto hurry(std::chrono::milliseconds time = std::chrono::milliseconds(0)) -> void;
 
     /// Runs a function once all records are delivered that were stored before now, or at a deadline with false.
     auto whenCurrent(std::chrono::milliseconds deadline, std::function<void(bool)> callback) -> void;
 
-    /// Changes the pause after reads.
-    auto setPace(std::chrono::milliseconds pace) -> void;
+    /// Changes the pause after reads and their longest wait for records.
+    auto setRhythm(std::chrono::milliseconds pace, std::chrono::milliseconds wait) -> void;
 
     /// Start of the newest read that succeeded: everything stored before it is delivered.
     [[nodiscard]] auto currentAsOf() const -> BootTime;
@@ -91,7 +93,7 @@
     bool stopped_ = false;
     bool failing_ = false;
     bool pacing_ = false;
-    /// No pace is kept until then.
+    /// The short pace is kept until then.
     BootTime hurryUntil_{};
     BootTime currentAsOf_{};
     BootTime loadStartedAt_{};
--- a/tests/support/scriptedstore.h
+++ b/tests/support/scriptedstore.h
@@ -64,7 +64,9 @@
                 },
                 [this](ReadRequest request, std::function<void(Result<ReadPage>)> callback) {
                     reads_.push_back({std::move(request), std::move(callback)});
-                    answerReads();
+                    if (!silent_) {
+                        answerReads();
+                    }
                 },
                 [this](NewestRequest request, std::function<void(Result<NewestPage>)> callback) {
                     onNewest(request, callback);
@@ -102,6 +104,8 @@
 
     /// Reads and loads fail while this is set.
     bool down_ = false;
+    /// Reads are never answered while this is set.
+    bool silent_ = false;
     /// Pages of newest records hold this many.
     std::size_t pageSize_ = 500;
     std::vector<AppendRequest> appends_;
@@ -203,7 +207,9 @@
         for (auto &read : pending) {
             const auto &topic = read.request_.stream_.topic_;
             auto &log = logs_[topic];
-            if (down_) {
+            if (silent_) {
+                reads_.push_back(std::move(read));
+            } else if (down_) {
                 read.callback_(Error{ErrorKind::LogUnavailable, "down", std::nullopt});
             } else if (read.request_.from_ < first_[topic]) {
                 read.callback_(Error{ErrorKind::OffsetExpired, "dropped", std::nullopt});
--- a/tests/unit/test_frontdoor.cpp
+++ b/tests/unit/test_frontdoor.cpp
@@ -73,6 +73,11 @@
         return status;
     }
 
+    [[nodiscard]] auto isReady() const -> bool
+    {
+        return door_->isReady();
+    }
+
     ScriptedStore store_;
     ManualSchedule schedule_;
     std::optional<CallerAnswer> last_;
@@ -157,6 +162,18 @@
         CHECK(*status == 504);
     }
 
+    SECTION("the store answers nothing at all: the caller may go elsewhere soon")
+    {
+        // Guards against callers that are held by an instance without a way to the store until their time is nearly over.
+        door.store_.failAppends(std::vector<AppendFault>(100, AppendFault::Lost));
+        door.store_.silent_ = true;
+        const auto status = door.call(CallKind::Submit, JobPath);
+        door.schedule_.advance(1'199ms);
+        CHECK(*status == 0);
+        door.schedule_.advance(2ms);
+        CHECK(*status == 504);
+    }
+
     SECTION("a job that another instance accepted a moment ago is known")
     {
         Submission other;
@@ -168,6 +185,23 @@
     }
 }
 
+TEST_CASE("an instance that has not heard from the store sends new callers elsewhere", "[frontdoor]")
+{
+    // Guards against callers that come to an instance without a way to the store for as long as its view of the keys may decide.
+    Door door;
+    door.start();
+    auto later = BootClock::now() + 900ms;
+    BootClock::useSource([&later] {
+        return later;
+    });
+    CHECK(door.isReady());
+    later += 200ms;
+    CHECK_FALSE(door.isReady());
+    // Callers that come all the same are still served.
+    CHECK(*door.call(CallKind::Submit, JobPath) == 200);
+    BootClock::useSource({});
+}
+
 TEST_CASE("a question about a running job waits a moment for its end", "[frontdoor]")
 {
     // Guards against callers that learn of an end one question later than they could: they ask when the work should be over,
