--- a/tests/integration/test_requests.cpp
+++ b/tests/integration/test_requests.cpp
@@ -60,6 +60,13 @@
         return told_;
     }
 
+    /// How often each caller was told "maybe ran" by each entry instance.
+    [[nodiscard]] auto maybeRan() -> std::map<std::pair<int, std::string>, int>
+    {
+        const std::lock_guard lock(mutex_);
+        return maybeRan_;
+    }
+
     [[nodiscard]] auto crossed() const -> int
     {
         return crossed_;
@@ -74,13 +81,13 @@
             const auto issued = postJson(entry.address_, "/v1/request-keys", nullptr, 2s);
             constexpr int Created = 201;
             if (issued.status_ == Created) {
-                send(entry, issued.body_["key"].get<std::string>());
+                send(caller, entry, issued.body_["key"].get<std::string>());
             }
             std::this_thread::sleep_for(5ms);
         }
     }
 
-    auto send(const FleetProcess &entry, const std::string &key) -> void
+    auto send(int caller, const FleetProcess &entry, const std::string &key) -> void
     {
         const auto body = "order of " + key;
         const auto result =
@@ -99,6 +106,9 @@
         }
         const std::lock_guard lock(mutex_);
         told_[key] = told;
+        if (told == Told::MaybeRan) {
+            ++maybeRan_[{caller, entry.name_}];
+        }
     }
 
     const Fleet &fleet_;
@@ -107,6 +117,7 @@
     std::atomic<int> crossed_ = 0;
     std::mutex mutex_;
     std::map<std::string, Told> told_;
+    std::map<std::pair<int, std::string>, int> maybeRan_;
 };
 
 /// Executions per key over all executors.
@@ -188,7 +199,6 @@
     CHECK(callers.told().size() > sentBefore + 50);
     callers.stop();
     auto ran = executions(fleet);
-    int maybeRan = 0;
     for (const auto &[key, outcome] : callers.told()) {
         CAPTURE(key);
         CHECK(ran[key] <= 1);
@@ -196,9 +206,13 @@
         if (outcome != Told::Answer) {
             CHECK(ran[key] == 0);
         }
-        maybeRan += outcome == Told::MaybeRan ? 1 : 0;
     }
     // The target's own refusal is how some instances learn that it leaves. Bytes had reached it by then, so those requests are
-    // answered "maybe ran" and are not sent again: at most one in flight for each caller.
-    CHECK(maybeRan <= 4);
+    // answered "maybe ran" and are not sent again: at most the one that each caller had in flight at each instance. A caller's
+    // next request may meet another instance that has not learned it yet.
+    for (const auto &[pair, count] : callers.maybeRan()) {
+        CAPTURE(pair.first, pair.second);
+        CHECK(count <= 1);
+        WARN("maybe ran: caller " << pair.first << " at " << pair.second << ": " << count);
+    }
 }
