Close callers' connections at an instance that is not ready

Ruled out: a shorter time to come back. It would use up the consumers' four retries within an outage of the whole store, where 1 s each bridges 4 s. Change: as while draining, answers of an instance that is not ready close the connection.

--- a/marjoramfold/node/instance.cpp
+++ b/marjoramfold/node/instance.cpp
@@ -231,8 +231,8 @@
     asio::post(control_, [this, call = std::move(call), respond = std::move(respond)]() mutable {
         frontDoor_->handle(std::move(call), [this, respond = std::move(respond)](const CallerAnswer &answer) {
             auto response = binding_.encodeAnswer_(answer);
-            // A caller of a leaving instance opens its next connection elsewhere.
-            response.closeConnection_ = draining_;
+            // A caller of an instance that leaves or cannot serve opens its next connection elsewhere.
+            response.closeConnection_ = draining_ || !ready_;
             respond(std::move(response));
             --openCalls_;
         });
