Time and count the calls to the store and to workers

Cause: only callers' answers had histograms; a store or worker that slowed down showed in logs alone. Change: the store's and the workers' calls pass a meter that counts them by outcome and times them; moves are counted with the leader's decisions. Test: 'calls to the store and to workers are counted by outcome and timed' is new.

--- a/marjoramfold/node/instance.cpp
+++ b/marjoramfold/node/instance.cpp
@@ -1,5 +1,7 @@
 #include "marjoramfold/node/instance.h"
 
+#include "marjoramfold/node/meteredcalls.h"
+
 #include "marjoramfold/observability/logline.h"
 
 #include <asio/executor_work_guard.hpp>
@@ -73,6 +75,8 @@
           },
           settings_.dispatch_.orderTimeout_))
 {
+    binding_.store_ = meterStore(std::move(binding_.store_), metrics_);
+    binding_.workers_ = meterWorkers(std::move(binding_.workers_), metrics_);
     const auto scheduleStep = [this](std::chrono::milliseconds pause, std::function<void()> step) {
         schedule(pause, std::move(step));
     };
--- a/marjoramfold/node/instancemetrics.cpp
+++ b/marjoramfold/node/instancemetrics.cpp
@@ -44,6 +44,7 @@
         {"lost", counts.lostRuns_},
         {"preemption", counts.preemptions_},
         {"stall", counts.stalls_},
+        {"move", counts.moves_},
     };
     for (const auto &[kind, value] : kinds) {
         decisions_.at({kind}).Set(static_cast<double>(value));
--- a/tests/unit/test_fleetscheduler.cpp
+++ b/tests/unit/test_fleetscheduler.cpp
@@ -321,6 +321,25 @@
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
 
+TEST_CASE("workers that join get waiting work at once", "[dispatch]")
+{
+    // Guards against room that is added under load and not used until something else ends.
+    SimulatedFleet fleet;
+    fillRacks(fleet);
+    fleet.work_ = [](const TaskRef &) {
+        return 20'000ms;
+    };
+    fleet.submit(makeSubmission(First.value(), "batch", 48, Small));
+    fleet.advance(500ms);
+    fleet.submit(asGang(makeSubmission(Second.value(), "batch", 3, WholeWorker)));
+    fleet.advance(1s);
+    REQUIRE(fleet.starts_[Second].empty());
+    fleet.addWorkers(3, "zone-3", "r3-1");
+    fleet.advance(200ms);
+    CHECK(fleet.starts_[Second].size() == 3);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
+
 TEST_CASE("work moves away from a worker that leaves before the work can end", "[dispatch]")
 {
     // Guards against runs that are kept until their worker is gone: they lose their work and wait for the end of its lease.
--- a/tests/unit/test_frontdoor.cpp
+++ b/tests/unit/test_frontdoor.cpp
@@ -1,4 +1,5 @@
 #include "marjoramfold/node/frontdoor.h"
+#include "marjoramfold/node/meteredcalls.h"
 #include "platform/jobdocument.h"
 #include "platform/operatorrecords.h"
 #include "tests/support/scriptedstore.h"
@@ -95,6 +96,36 @@
 const std::string JobPath = std::string("/q/") + Id;
 } // namespace
 
+TEST_CASE("calls to the store and to workers are counted by outcome and timed", "[metrics]")
+{
+    // Guards against a dependency that fails or slows down without a figure that shows it.
+    MetricsRegistry registry;
+    ScriptedStore scripted;
+    scripted.failAppends({AppendFault::Refused});
+    const auto store = meterStore(scripted.store(), registry);
+    for (int i = 0; i < 2; ++i) {
+        store.append_({feedStream(), {{"key", "value"}}, {"producer", 1, 0}, 900ms, false}, [](const AppendResult &) {});
+    }
+    store.read_({feedStream(), 0, 0ms, 700ms, false}, [](const Result<ReadPage> &) {});
+    const auto workers = meterWorkers({[](const StartOrder &, const std::function<void(OrderAnswer)> &callback) {
+                                           callback({OrderOutcome::Refused, "room", 0, 0ms, {}});
+                                       },
+                                       {},
+                                       {}},
+                                      registry);
+    workers.start_({}, [](const OrderAnswer &) {});
+    const auto text = registry.text();
+    for (const auto *line : {R"(marjoramfold_store_calls_total{call="append",outcome="refused"} 1)",
+                             R"(marjoramfold_store_calls_total{call="append",outcome="stored"} 1)",
+                             R"(marjoramfold_store_calls_total{call="read",outcome="ok"} 1)",
+                             R"(marjoramfold_store_call_seconds_count{call="append"} 2)",
+                             R"(marjoramfold_worker_calls_total{call="start",outcome="refused"} 1)",
+                             R"(marjoramfold_worker_call_seconds_count{call="start"} 1)"}) {
+        CAPTURE(line, text);
+        CHECK(text.find(line) != std::string::npos);
+    }
+}
+
 TEST_CASE("an instance without a configuration refuses for now", "[frontdoor]")
 {
     Door door;
