Blame the worker for a run that fails at once

Ruled out: jobs that can never be done; they fail later, and one job's quick failures are held against two workers at most. Change: a run that fails within a tenth of its expected time, like one that stands still, makes its worker suspect at once. Tests share the wiring of a feed's follower. Test: 'a run that fails at once makes its worker suspect' failed before.

--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -132,7 +132,14 @@
     auto applyFailure(JobRecord &job, const RunEnded &end) -> void;
     auto endGang(JobRecord &job, const RunEnded &end) -> void;
     auto noteWorkerOutcome(const RunEnded &end) -> void;
-    auto suspect(WorkerSession &session, const JobId &job, const std::string &reason) -> void;
+    /// What a failure says of its worker.
+    enum class Blame : std::uint8_t {
+        /// It may be the job's own fault; failures of several jobs are needed.
+        Shared,
+        Worker,
+    };
+    auto suspect(WorkerSession &session, const JobId &job, Blame blame, const std::string &reason) -> void;
+    [[nodiscard]] auto blameFor(const RunEnded &end) -> Blame;
     auto completeIfDone(JobRecord &job) -> void;
     auto learn(const JobRecord &job, const RunEnded &end) -> void;
     /// Keeps the newest saved progress; the members of a gang share it.
--- a/marjoramfold/dispatch/interventions.cpp
+++ b/marjoramfold/dispatch/interventions.cpp
@@ -35,11 +35,14 @@
         return false;
     }
     const auto &tasks = job->occurrences_[key.first.occurrence_].steps_[key.first.step_].tasks_;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        const TaskRef member{key.first.job_, key.first.occurrence_, key.first.step_, index};
-        const auto *session = tasks[index].isActive() ? sessions_.find(tasks[index].worker_) : nullptr;
-        const auto found = session == nullptr ? std::map<RunKey, WorkerRun>::const_iterator{} : session->runs_.find({member, key.second});
-        if (session == nullptr || found == session->runs_.end() || found->second.stage_ != RunStage::Running) {
+    auto member = key;
+    for (member.first.index_ = 0; member.first.index_ < tasks.size(); ++member.first.index_) {
+        const auto *session = sessions_.find(tasks[member.first.index_].worker_);
+        if (session == nullptr) {
+            return true;
+        }
+        const auto found = session->runs_.find(member);
+        if (found == session->runs_.end() || found->second.stage_ != RunStage::Running) {
             return true;
         }
     }
@@ -78,8 +81,7 @@
         if (auto *job = findJob(key.first.job_); job != nullptr) {
             job->occurrences_[key.first.occurrence_].steps_[key.first.step_].tasks_[key.first.index_].failedOn_.insert(session->entry_.id_);
         }
-        session->troubledJobs_.insert(JobId("stalled run"));
-        suspect(*session, key.first.job_, "runs stand still");
+        suspect(*session, key.first.job_, Blame::Worker, "runs stand still");
         sessions_.stop(session->entry_.id_, key.first, key.second);
     }
 }
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -71,6 +71,8 @@
     /// When this leader learned that the job is final.
     BootTime finalSince_{};
     std::uint32_t active_ = 0;
+    /// Workers on which a run of the job failed at once. Not recorded.
+    std::set<WorkerId> failedAtOnceOn_;
 
     /// True once nothing more may start.
     [[nodiscard]] auto isClosed() const -> bool
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -9,6 +9,11 @@
 {
 /// Weight of a new observation in a learned ratio.
 constexpr double LearningRate = 0.1;
+/// A run that fails before this share of its expected time tells of a bad worker: 3% of the tasks' own failures come so soon.
+constexpr double QuickFailureShare = 0.1;
+/// Workers that are blamed for one job's quick failures.
+constexpr unsigned MostBlamedWorkers = 2;
+
 /// True when a job has the task; a listing may come from another writer.
 auto hasTask(const JobRecord &job, const TaskRef &task) -> bool
 {
@@ -224,20 +229,36 @@
         session->troubledJobs_.clear();
         session->timesSuspect_ = 0;
     } else if (end.kind_ == EndKind::Failed) {
-        suspect(*session, end.task_.job_, "runs failed");
+        suspect(*session, end.task_.job_, blameFor(end), "runs failed");
     } else {
         counts_.lostRuns_ += 1;
         if (end.neverBegan_ && end.reason_.starts_with("busy")) {
-            suspect(*session, end.task_.job_, "starts refused");
+            suspect(*session, end.task_.job_, Blame::Shared, "starts refused");
         }
     }
 }
 
-auto FleetScheduler::suspect(WorkerSession &session, const JobId &job, const std::string &reason) -> void
+auto FleetScheduler::blameFor(const RunEnded &end) -> Blame
+{
+    auto *job = findJob(end.task_.job_);
+    if (job == nullptr || !hasTask(*job, end.task_)) {
+        return Blame::Shared;
+    }
+    const auto &plan = job->submission_.plan_.steps_[end.task_.step_];
+    const auto quick = end.ranFor_ < expectedTime(plan, ratioOf(job->submission_.queue_)) * QuickFailureShare;
+    if (!quick) {
+        return Blame::Shared;
+    }
+    // A job that fails at once on several workers is to blame itself.
+    job->failedAtOnceOn_.insert(end.worker_);
+    return job->failedAtOnceOn_.size() <= MostBlamedWorkers ? Blame::Worker : Blame::Shared;
+}
+
+auto FleetScheduler::suspect(WorkerSession &session, const JobId &job, Blame blame, const std::string &reason) -> void
 {
     // One job that always fails must not make workers suspect: it takes failures of several jobs.
     session.troubledJobs_.insert(job);
-    if (session.troubledJobs_.size() < options_.failuresToSuspect_) {
+    if (blame == Blame::Shared && session.troubledJobs_.size() < options_.failuresToSuspect_) {
         return;
     }
     const auto time = std::min(options_.longestSuspectTime_, options_.suspectTime_ * (1U << std::min(session.timesSuspect_, 8U)));
--- a/marjoramfold/node/instance.cpp
+++ b/marjoramfold/node/instance.cpp
@@ -1,7 +1,6 @@
 #include "marjoramfold/node/instance.h"
 
 #include "marjoramfold/node/meteredcalls.h"
-
 #include "marjoramfold/observability/logline.h"
 
 #include <asio/executor_work_guard.hpp>
--- a/tests/unit/test_election.cpp
+++ b/tests/unit/test_election.cpp
@@ -1,5 +1,5 @@
 #include "marjoramfold/node/election.h"
-#include "tests/support/scriptedstore.h"
+#include "tests/support/feedfollower.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,26 +12,9 @@
 /// One instance's part in the election, on a shared store.
 struct Candidate {
     Candidate(const std::string &name, std::uint64_t process, ScriptedStore &store, ManualSchedule &schedule)
+        : follower_(makeFeedFollower(store, schedule, feed_))
+        , appender_(makeFeedAppender(store, schedule, name))
     {
-        FollowerOptions options;
-        options.stream_ = feedStream();
-        follower_ = std::make_shared<StreamFollower>(
-            store.store(),
-            schedule.hook(),
-            options,
-            [this](const std::vector<StoredRecord> &records, bool loaded) {
-                feed_.apply(records);
-                if (loaded) {
-                    feed_.endReload();
-                }
-            },
-            [this] {
-                feed_.beginReload();
-            });
-        AppenderOptions appender;
-        appender.stream_ = feedStream();
-        appender.producer_ = name;
-        appender_ = std::make_shared<OrderedAppender>(store.store(), schedule.hook(), appender);
         ElectionOptions election;
         election.instance_ = name;
         election.process_ = process;
--- a/tests/unit/test_fleetscheduler.cpp
+++ b/tests/unit/test_fleetscheduler.cpp
@@ -516,6 +516,48 @@
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
 
+TEST_CASE("a run that fails at once makes its worker suspect", "[dispatch]")
+{
+    // Guards against bad workers that fail run after run, because one job's failures alone do not count against a worker.
+    SimulatedFleet fleet;
+    fillRacks(fleet);
+    fleet.work_ = [](const TaskRef &) {
+        return 6'000ms;
+    };
+    auto job = makeSubmission(First.value(), "batch", 12, Small);
+    job.plan_.steps_[0].estimate_ = 6'000ms;
+    const auto suspects = [&fleet] {
+        std::size_t count = 0;
+        for (const auto &[id, session] : fleet.scheduler_->sessions().all()) {
+            count += session->suspectUntil_ > BootTime(fleet.now()) ? 1 : 0;
+        }
+        return count;
+    };
+
+    SECTION("one bad worker is left alone after its first failures")
+    {
+        fleet.worker(fleet.workerIds().front()).failsAll_ = true;
+        fleet.submit(job);
+        fleet.advance(500ms);
+        CHECK(suspects() == 1);
+        fleet.advance(8s);
+        CHECK(fleet.phaseOf(First) == JobPhase::Completed);
+    }
+
+    SECTION("a job that fails at once everywhere is not blamed on all workers")
+    {
+        for (const auto &id : fleet.workerIds()) {
+            fleet.worker(id).failsAll_ = true;
+        }
+        job.plan_.steps_[0].count_ = 1;
+        fleet.submit(job);
+        fleet.advance(3s);
+        CHECK(fleet.phaseOf(First) == JobPhase::Failed);
+        CHECK(suspects() <= 2);
+    }
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
+
 TEST_CASE("a gang that waits for a member in doubt gives up its room, and nobody is blamed", "[dispatch]")
 {
     // Guards against sound workers that are taken for hung because the other members of their gang are missing.
--- a/tests/unit/test_frontdoor.cpp
+++ b/tests/unit/test_frontdoor.cpp
@@ -2,7 +2,7 @@
 #include "marjoramfold/node/meteredcalls.h"
 #include "platform/jobdocument.h"
 #include "platform/operatorrecords.h"
-#include "tests/support/scriptedstore.h"
+#include "tests/support/feedfollower.h"
 
 #include <catch2/catch.hpp>
 
@@ -30,25 +30,8 @@
         binding_.decodeOperatorRecord_ = &Wire::decodeOperatorRecord;
         binding_.decodeJobPlan_ = &Wire::decodeJobPlan;
         view_ = std::make_unique<OperatorView>(binding_, schedule_.hook(), [] {});
-        FollowerOptions options;
-        options.stream_ = feedStream();
-        follower_ = std::make_shared<StreamFollower>(
-            binding_.store_,
-            schedule_.hook(),
-            options,
-            [this](const std::vector<StoredRecord> &records, bool loaded) {
-                feed_.apply(records);
-                if (loaded) {
-                    feed_.endReload();
-                }
-            },
-            [this] {
-                feed_.beginReload();
-            });
-        AppenderOptions appender;
-        appender.stream_ = feedStream();
-        appender.producer_ = "instance";
-        appender_ = std::make_shared<OrderedAppender>(binding_.store_, schedule_.hook(), appender);
+        follower_ = makeFeedFollower(store_, schedule_, feed_);
+        appender_ = makeFeedAppender(store_, schedule_, "instance");
         feed_.setListeners({{}, {}, {}, {}, [this](const JobId &id) {
                                 door_->onJobEnded(id);
                             }});
