Move tasks that last away from a leaving worker, and tell 'never ends' apart from a time

Cause: the time that a hung run needs to its end was the largest number of milliseconds, which overflows when it is compared with the time until the worker leaves; such a run stayed until the stall time found it. Tasks that last were left there too. Change: the time is optional; a run without one moves at once. Tests: 'a task that lasts moves at once' failed before; the check on a hung run now looks at its second start.

--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -150,8 +150,8 @@
     /// True for a member of a gang that has not begun to work because another member is missing.
     [[nodiscard]] auto waitsForGang(const RunKey &key, const WorkerRun &run) -> bool;
     auto leaveDepartingWorkers(BootTime now) -> void;
-    /// Time that a run needs to its end; the maximum when it stands still.
-    [[nodiscard]] static auto workLeft(const WorkerSession &session, const WorkerRun &run, BootTime now) -> std::chrono::milliseconds;
+    /// Time that a run needs to its end; empty when it would not come to it, because it lasts or stands still.
+    [[nodiscard]] static auto workLeft(const WorkerSession &session, const WorkerRun &run, BootTime now) -> std::optional<std::chrono::milliseconds>;
 
     // startpass.cpp: choosing what starts.
     auto pass() -> void;
--- a/marjoramfold/dispatch/interventions.cpp
+++ b/marjoramfold/dispatch/interventions.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -86,10 +87,11 @@
     }
 }
 
-auto FleetScheduler::workLeft(const WorkerSession &session, const WorkerRun &run, BootTime now) -> std::chrono::milliseconds
+auto FleetScheduler::workLeft(const WorkerSession &session, const WorkerRun &run, BootTime now) -> std::optional<std::chrono::milliseconds>
 {
-    if (stoodStillFor(session, run) > StandingStill) {
-        return std::chrono::milliseconds::max();
+    const auto lasts = run.expected_.count() == 0;
+    if (lasts || stoodStillFor(session, run) > StandingStill) {
+        return std::nullopt;
     }
     const auto left = static_cast<double>(100 - run.percent_);
     const auto sinceReport = std::chrono::duration_cast<std::chrono::milliseconds>(now - run.progressAt_);
@@ -109,11 +111,10 @@
             continue;
         }
         for (const auto &[key, run] : session->runs_) {
-            const auto endsItself = run.expected_.count() > 0;
-            if (run.stage_ != RunStage::Running || !endsItself) {
+            if (run.stage_ != RunStage::Running) {
                 continue;
             }
-            if (workLeft(*session, run, now) > session->leavesAt_ - now) {
+            if (const auto left = workLeft(*session, run, now); !left || *left > session->leavesAt_ - now) {
                 moving.emplace_back(session.get(), key);
             }
         }
--- a/tests/unit/test_fleetscheduler.cpp
+++ b/tests/unit/test_fleetscheduler.cpp
@@ -397,12 +397,25 @@
         fleet.advance(1'500ms);
         const auto leaving = workerOf();
         fleet.worker(leaving).hangs_ = true;
-        fleet.advance(1'100ms);
+        fleet.advance(800ms);
         fleet.leave(leaving, 1'500ms);
-        fleet.advance(3'800ms);
+        fleet.advance(1s);
+        CHECK(fleet.starts_[First].size() == 2);
+        fleet.advance(2'800ms);
         CHECK(fleet.phaseOf(First) == JobPhase::Completed);
     }
 
+    SECTION("a task that lasts moves at once")
+    {
+        work = 60'000ms;
+        job.plan_.steps_[0].service_ = true;
+        fleet.submit(job);
+        fleet.advance(1s);
+        fleet.leave(workerOf(), 10s);
+        fleet.advance(1s);
+        CHECK(fleet.starts_[First].size() == 2);
+    }
+
     SECTION("a task that will end in time stays")
     {
         work = 2'500ms;
