--- a/tests/unit/test_fleetscheduler.cpp
+++ b/tests/unit/test_fleetscheduler.cpp
@@ -399,9 +399,9 @@
         fleet.worker(leaving).hangs_ = true;
         fleet.advance(800ms);
         fleet.leave(leaving, 1'500ms);
-        fleet.advance(1s);
+        fleet.advance(1'200ms);
         CHECK(fleet.starts_[First].size() == 2);
-        fleet.advance(2'800ms);
+        fleet.advance(2'600ms);
         CHECK(fleet.phaseOf(First) == JobPhase::Completed);
     }
 
