Give a slow store's leader more time, and read progress by the worker's present clock

Change: a probe's answer time is added four times to the silence that a succession asks for, and spreads the claims; a probe that failed or needed a new connection does not count. Cause 2: a run with full progress stands still by its numbers, and was moved from a leaving worker just before its end; a worker's new life kept the clock of the former one's last list, so that its new runs looked hung at once. Tests: 'while the store answers slowly, a leader is given more time', 'a task that is all but done stays' and 'a worker that was started again lists its new runs by its new clock' failed before.

--- a/marjoramfold/dispatch/interventions.cpp
+++ b/marjoramfold/dispatch/interventions.cpp
@@ -22,7 +22,8 @@
 /// How long a run had not advanced when its worker last listed it, on the worker's clock.
 auto stoodStillFor(const WorkerSession &session, const WorkerRun &run) -> std::chrono::milliseconds
 {
-    return session.listedClock_ - run.progressClock_;
+    // A run whose progress is full is about to end; nothing can be told from it any more.
+    return run.percent_ < 100 ? session.listedClock_ - run.progressClock_ : std::chrono::milliseconds(0);
 }
 } // namespace
 
@@ -57,8 +58,8 @@
     for (const auto &[id, session] : sessions_.all()) {
         for (const auto &[key, run] : session->runs_) {
             const auto share = std::chrono::duration_cast<std::chrono::milliseconds>(run.expected_ * options_.stallShare_);
-            const auto advances = run.expected_.count() > 0 && run.percent_ < 100;
-            if (run.stage_ == RunStage::Running && advances && stoodStillFor(*session, run) > std::max(options_.stallTime_, share)) {
+            const auto ends = run.expected_.count() > 0;
+            if (run.stage_ == RunStage::Running && ends && stoodStillFor(*session, run) > std::max(options_.stallTime_, share)) {
                 (waitsForGang(key, run) ? waiting : stalled).emplace_back(session.get(), key);
             }
         }
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -395,6 +395,7 @@
     session.endsAcknowledged_ = 0;
     session.leaseUntil_ = {};
     session.clock_ = {};
+    session.listedClock_ = {};
     session.clockAt_ = BootClock::now();
     session.answered_ = false;
     session.adopted_ = false;
--- a/marjoramfold/node/election.cpp
+++ b/marjoramfold/node/election.cpp
@@ -2,6 +2,8 @@
 
 #include "marjoramfold/observability/logline.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace Marjoramfold
@@ -73,7 +75,17 @@
     const auto &leader = feed_.leader();
     const auto isFormerProcess = leader.instance_ == options_.instance_ && leader.process_ != options_.process_;
     // An epoch that was given up here was given up to a higher one; its renewals must have the time to arrive.
-    return leader.epoch_ == 0 || leader.resigned_ || isFormerProcess || follower_->currentAsOf() - leader.seenAt_ > options_.silence_;
+    return leader.epoch_ == 0 || leader.resigned_ || isFormerProcess || isSilent(follower_->currentAsOf());
+}
+
+auto Election::isSilent(BootTime asOf) const -> bool
+{
+    return asOf - feed_.leader().seenAt_ > options_.silence_ + options_.slowAnswers_ * answerTime_;
+}
+
+auto Election::courtesy() const -> std::chrono::milliseconds
+{
+    return options_.courtesy_ * std::max<std::int64_t>(1, answerTime_ / options_.usualAnswer_);
 }
 
 auto Election::check() -> void
@@ -103,24 +115,32 @@
         if (vacantSince_ == BootTime{}) {
             vacantSince_ = now;
         }
-        if (now - vacantSince_ >= options_.courtesy_) {
+        if (now - vacantSince_ >= courtesy()) {
             claim();
         }
         return;
     }
     vacantSince_ = {};
-    if (now - leader.seenAt_ > options_.silence_ && !probing_) {
-        // A fresh read shows whether the leader is silent or this instance has heard nothing.
-        probing_ = true;
-        follower_->whenCurrent(ProbeTimeout, [this, alive = std::weak_ptr(alive_)](bool /*current*/) {
-            if (!alive.expired()) {
-                probing_ = false;
-                check();
-            }
-        });
+    if (isSilent(now) && !probing_) {
+        probe();
     }
 }
 
+auto Election::probe() -> void
+{
+    // A fresh read shows whether the leader is silent or this instance has heard nothing, and how fast the store is.
+    probing_ = true;
+    follower_->whenCurrent(ProbeTimeout, [this, alive = std::weak_ptr(alive_), begin = BootClock::now()](bool current) {
+        if (!alive.expired()) {
+            probing_ = false;
+            // A probe that failed, or that waited for a new connection, tells nothing of a slow store.
+            const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - begin);
+            answerTime_ = current && took <= options_.slowestAnswer_ ? took : std::chrono::milliseconds(0);
+            check();
+        }
+    });
+}
+
 auto Election::claim() -> void
 {
     claiming_ = true;
@@ -129,7 +149,8 @@
         .with("after_epoch", leader.epoch_)
         .with("leader", leader.instance_)
         .with("resigned", leader.resigned_)
-        .with("silent_ms", std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - leader.seenAt_).count());
+        .with("silent_ms", std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - leader.seenAt_).count())
+        .with("store_answer_ms", answerTime_.count());
     appender_->write({JobFeed::leadershipRecord({LeadershipAct::Claim, leader.epoch_, options_.instance_, options_.process_, ++claims_})},
                      [this, alive = std::weak_ptr(alive_)](const WriteResult &result) {
                          if (alive.expired()) {
--- a/marjoramfold/node/election.h
+++ b/marjoramfold/node/election.h
@@ -21,6 +21,12 @@
     std::chrono::milliseconds silence_{900};
     /// How long this instance lets others go first.
     std::chrono::milliseconds courtesy_{0};
+    /// A store that takes long to answer takes as long for the leader's renewals: the silence grows by this many answers.
+    int slowAnswers_ = 4;
+    /// A read's answer takes some 8 ms. With slower answers the courtesy grows in proportion, since claims are seen later.
+    std::chrono::milliseconds usualAnswer_{10};
+    /// Above the answers of a slow store, below the time of a call that is given up.
+    std::chrono::milliseconds slowestAnswer_{500};
 };
 
 /// Decides when this instance claims leadership and notices when it gains or loses it. All from the records of the feed.
@@ -52,6 +58,10 @@
 
 private:
     [[nodiscard]] auto isVacant() const -> bool;
+    /// The leader has shown no sign for as long as the store's answers ask for.
+    [[nodiscard]] auto isSilent(BootTime asOf) const -> bool;
+    [[nodiscard]] auto courtesy() const -> std::chrono::milliseconds;
+    auto probe() -> void;
     auto recordVacancy() -> void;
     auto claim() -> void;
 
@@ -70,6 +80,8 @@
     bool recordingVacancy_ = false;
     bool claiming_ = false;
     bool probing_ = false;
+    /// How long the store took to answer the last probe.
+    std::chrono::milliseconds answerTime_{0};
     bool retired_ = false;
     BootTime vacantSince_{};
     std::shared_ptr<bool> alive_;
--- a/tests/support/simulatedfleet.h
+++ b/tests/support/simulatedfleet.h
@@ -82,6 +82,8 @@
     std::unordered_set<std::string> evacuated_;
     /// Work of a task on a sound worker; 2 s when not set.
     std::function<std::chrono::milliseconds(const TaskRef &)> work_;
+    /// Progress as workers list it, from what it is in percent; the same when not set.
+    std::function<int(int)> listedPercent_;
     /// Tasks that fail at the end of their work.
     std::function<bool(const TaskRef &)> fails_;
     /// What becomes of the next start order: 0 as usual, 1 its answer is lost, 2 it is carried out 3 s later without an answer.
--- a/tests/unit/test_election.cpp
+++ b/tests/unit/test_election.cpp
@@ -71,6 +71,18 @@
         CHECK(first.election_->ledEpoch() == 0);
     }
 
+    SECTION("while the store answers slowly, a leader is given more time, and claims are further apart")
+    {
+        // Guards against a slow store whose few appends are used up by claims of all instances.
+        pass(300ms, true);
+        store.schedule_ = &schedule;
+        store.readTime_ = 300ms;
+        pass(1'700ms, false);
+        CHECK(second.election_->ledEpoch() == 0);
+        pass(2s, false);
+        CHECK(second.election_->ledEpoch() > epoch);
+    }
+
     SECTION("a leader that the store did not confirm gives up: others need not wait for its silence")
     {
         // Guards against time without a leader after a store that was slow or away: late renewals look like signs of life.
--- a/tests/unit/test_fleetscheduler.cpp
+++ b/tests/unit/test_fleetscheduler.cpp
@@ -405,6 +405,38 @@
         CHECK(fleet.phaseOf(First) == JobPhase::Completed);
     }
 
+    SECTION("a task that is all but done stays")
+    {
+        // The worker lists full progress for a while before the end.
+        fleet.listedPercent_ = [](int percent) {
+            return percent > 50 ? 100 : percent;
+        };
+        fleet.submit(job);
+        fleet.advance(4'200ms);
+        fleet.leave(workerOf(), 2s);
+        fleet.advance(2s);
+        CHECK(fleet.phaseOf(First) == JobPhase::Completed);
+        CHECK(fleet.starts_[First].size() == 1);
+    }
+
+    SECTION("a worker that was started again lists its new runs by its new clock")
+    {
+        // Guards against runs that are taken for hung because their worker's clock began anew.
+        fleet.submit(job);
+        fleet.advance(2s);
+        const auto restarted = workerOf();
+        fleet.evacuated_.insert(fleet.worker(restarted).entry_.zone_.value() == "zone-1" ? "zone-2" : "zone-1");
+        for (const auto &id : fleet.workerIds()) {
+            if (id != restarted) {
+                fleet.unlist(id);
+            }
+        }
+        fleet.restartWorker(restarted);
+        fleet.advance(9s);
+        CHECK(fleet.phaseOf(First) == JobPhase::Completed);
+        CHECK(fleet.scheduler_->counts().stalls_ == 0);
+    }
+
     SECTION("a task that lasts moves at once")
     {
         work = 60'000ms;
