--- a/tests/support/simulatedfleet.cpp
+++ b/tests/support/simulatedfleet.cpp
@@ -34,6 +34,20 @@
     return submission;
 }
 
+auto fillRacks(SimulatedFleet &fleet) -> void
+{
+    fleet.addWorkers(3, "zone-1", "r1-1");
+    fleet.addWorkers(3, "zone-2", "r2-1");
+    fleet.startLeader();
+}
+
+auto asGang(Submission submission) -> Submission
+{
+    submission.plan_.steps_[0].gang_ = true;
+    submission.plan_.steps_[0].oneRack_ = true;
+    return submission;
+}
+
 SimulatedFleet::SimulatedFleet()
 {
     QueueRule urgent;
--- a/tests/support/simulatedfleet.h
+++ b/tests/support/simulatedfleet.h
@@ -122,4 +122,14 @@
 
 /// A job of one step, ready to be changed.
 [[nodiscard]] auto makeSubmission(const std::string &id, const std::string &queue, std::uint32_t count, Demand task) -> Submission;
+
+/// A task of which eight fit on a worker, and one that takes all accelerators of a worker.
+constexpr Demand Small{11'000, 46'000, 1};
+constexpr Demand WholeWorker{52'000, 210'000, 8};
+
+/// Two racks of three workers each, and a leader.
+auto fillRacks(SimulatedFleet &fleet) -> void;
+
+/// The same job with its first step as a gang in one rack.
+[[nodiscard]] auto asGang(Submission submission) -> Submission;
 } // namespace Marjoramfold::Test
