Give the leader's jobs a type name of their own

Cause: dispatch/jobstate.h and scheduling/jobrecord.h both defined Marjoramfold::JobRecord. The linker kept one inline destructor for both; since the dispatcher's type has a set of workers, the product scheduler's records were destroyed with it, and eight unit tests crashed in the full build (the platform's build compiles one of the two only). Change: the dispatcher's type is TrackedJob. All 167 unit cases pass. Instance (node, log) and ZoneCapacity (placement, membership) are still defined twice; they did not crash and are listed as open.

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -46,7 +46,7 @@
     return counts_;
 }
 
-auto FleetScheduler::jobs() const -> const std::unordered_map<JobId, std::unique_ptr<JobRecord>> &
+auto FleetScheduler::jobs() const -> const std::unordered_map<JobId, std::unique_ptr<TrackedJob>> &
 {
     return jobs_;
 }
@@ -56,7 +56,7 @@
     return sessions_;
 }
 
-auto FleetScheduler::findJob(const JobId &id) -> JobRecord *
+auto FleetScheduler::findJob(const JobId &id) -> TrackedJob *
 {
     const auto found = jobs_.find(id);
     return found == jobs_.end() ? nullptr : found->second.get();
@@ -68,7 +68,7 @@
     if (slot) {
         return;
     }
-    slot = std::make_unique<JobRecord>(makeJobRecord(submission));
+    slot = std::make_unique<TrackedJob>(makeTrackedJob(submission));
     slot->phase_ = phase;
     slot->failed_ = phase == JobPhase::Failed;
     if (isFinalPhase(phase)) {
@@ -130,7 +130,7 @@
 {
     begun_ = true;
     // Finish what a former leader left between a record and what follows from it.
-    std::vector<JobRecord *> jobs;
+    std::vector<TrackedJob *> jobs;
     for (const auto &[id, job] : open_) {
         jobs.push_back(job);
     }
@@ -169,12 +169,12 @@
     sessions_.keepOnly(listed);
 }
 
-auto FleetScheduler::touch(JobRecord &job, std::uint32_t occurrence) -> void
+auto FleetScheduler::touch(TrackedJob &job, std::uint32_t occurrence) -> void
 {
     touched_.insert({job.submission_.id_, occurrence});
 }
 
-auto FleetScheduler::setPhase(JobRecord &job, JobPhase phase) -> void
+auto FleetScheduler::setPhase(TrackedJob &job, JobPhase phase) -> void
 {
     if (job.phase_ == phase || isFinalPhase(job.phase_)) {
         return;
@@ -278,7 +278,7 @@
     sessions_.start(start.worker_, start.task_, start.run_, job.submission_.plan_.payload_, task.checkpoint_);
 }
 
-auto FleetScheduler::stopRuns(JobRecord &job, const std::string &reason) -> void
+auto FleetScheduler::stopRuns(TrackedJob &job, const std::string &reason) -> void
 {
     LogLine(LogSeverity::Info, "job_runs_stopped").job(job.submission_.id_.value()).with("runs", job.active_).with("reason", reason);
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences_.size(); ++occurrence) {
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -95,7 +95,7 @@
     [[nodiscard]] auto expiredJobs() const -> std::vector<std::pair<JobId, std::uint32_t>>;
 
     [[nodiscard]] auto counts() const -> const SchedulerCounts &;
-    [[nodiscard]] auto jobs() const -> const std::unordered_map<JobId, std::unique_ptr<JobRecord>> &;
+    [[nodiscard]] auto jobs() const -> const std::unordered_map<JobId, std::unique_ptr<TrackedJob>> &;
     [[nodiscard]] auto sessions() const -> const WorkerSessions &;
 
 private:
@@ -109,28 +109,28 @@
     /// A ready step with its tasks that can start now.
     struct ReadyStep {
         StepRank rank_;
-        JobRecord *job_ = nullptr;
+        TrackedJob *job_ = nullptr;
         const QueueRule *queue_ = nullptr;
         std::vector<std::uint32_t> tasks_;
     };
 
     // fleetscheduler.cpp: jobs, records, phases.
-    auto findJob(const JobId &id) -> JobRecord *;
-    auto touch(JobRecord &job, std::uint32_t occurrence) -> void;
-    auto setPhase(JobRecord &job, JobPhase phase) -> void;
+    auto findJob(const JobId &id) -> TrackedJob *;
+    auto touch(TrackedJob &job, std::uint32_t occurrence) -> void;
+    auto setPhase(TrackedJob &job, JobPhase phase) -> void;
     auto flush() -> void;
     auto onRecorded(const std::vector<PendingStart> &starts, const std::vector<std::pair<WorkerId, std::uint64_t>> &ends) -> void;
     auto releaseStart(const PendingStart &start) -> void;
     [[nodiscard]] auto whyNotStart(const PendingStart &start) -> std::string;
-    auto stopRuns(JobRecord &job, const std::string &reason) -> void;
+    auto stopRuns(TrackedJob &job, const std::string &reason) -> void;
 
     // runoutcomes.cpp: what follows from what workers report.
     auto onBegan(const WorkerId &worker, const TaskRef &task, std::uint32_t run) -> void;
     auto onEnded(const RunEnded &end) -> void;
-    auto applyLateEnd(JobRecord &job, const RunEnded &end) -> void;
-    auto applyDone(JobRecord &job, const RunEnded &end) -> void;
-    auto applyFailure(JobRecord &job, const RunEnded &end) -> void;
-    auto endGang(JobRecord &job, const RunEnded &end) -> void;
+    auto applyLateEnd(TrackedJob &job, const RunEnded &end) -> void;
+    auto applyDone(TrackedJob &job, const RunEnded &end) -> void;
+    auto applyFailure(TrackedJob &job, const RunEnded &end) -> void;
+    auto endGang(TrackedJob &job, const RunEnded &end) -> void;
     auto noteWorkerOutcome(const RunEnded &end) -> void;
     /// What a failure says of its worker.
     enum class Blame : std::uint8_t {
@@ -140,8 +140,8 @@
     };
     auto suspect(WorkerSession &session, const JobId &job, Blame blame, const std::string &reason) -> void;
     [[nodiscard]] auto blameFor(const RunEnded &end) -> Blame;
-    auto completeIfDone(JobRecord &job) -> void;
-    auto learn(const JobRecord &job, const RunEnded &end) -> void;
+    auto completeIfDone(TrackedJob &job) -> void;
+    auto learn(const TrackedJob &job, const RunEnded &end) -> void;
     /// Keeps the newest saved progress; the members of a gang share it.
     auto keepCheckpoint(StepState &step, const StepPlan &plan, const RunEnded &end) -> void;
 
@@ -156,7 +156,7 @@
     // startpass.cpp: choosing what starts.
     auto pass() -> void;
     [[nodiscard]] auto readySteps() -> std::vector<ReadyStep>;
-    auto collectReady(JobRecord &job, const QueueRule &queue, std::vector<ReadyStep> &ready) -> void;
+    auto collectReady(TrackedJob &job, const QueueRule &queue, std::vector<ReadyStep> &ready) -> void;
     auto placeStep(Placement &placement, ReadyStep &ready, unsigned &reservations) -> void;
     auto placeUnit(Placement &placement, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, unsigned &reservations) -> void;
     [[nodiscard]] auto needOf(const ReadyStep &ready, const std::vector<std::uint32_t> &tasks) -> UnitNeed;
@@ -171,9 +171,9 @@
     DispatchOptions options_;
     SchedulerHooks hooks_;
     std::function<void()> onDeposed_;
-    std::unordered_map<JobId, std::unique_ptr<JobRecord>> jobs_;
+    std::unordered_map<JobId, std::unique_ptr<TrackedJob>> jobs_;
     /// Jobs that are not closed, in a fixed order.
-    std::map<JobId, JobRecord *> open_;
+    std::map<JobId, TrackedJob *> open_;
     std::set<std::pair<JobId, std::uint32_t>> touched_;
     std::vector<PendingStart> pendingStarts_;
     std::vector<std::pair<JobId, JobPhase>> pendingPhases_;
--- a/marjoramfold/dispatch/jobstate.cpp
+++ b/marjoramfold/dispatch/jobstate.cpp
@@ -34,9 +34,9 @@
 };
 } // namespace
 
-auto makeJobRecord(Submission submission) -> JobRecord
+auto makeTrackedJob(Submission submission) -> TrackedJob
 {
-    JobRecord job;
+    TrackedJob job;
     OccurrenceState occurrence;
     for (const auto &step : submission.plan_.steps_) {
         occurrence.steps_.push_back({std::vector<TaskState>(step.count_), 0, 0, {}});
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -61,7 +61,7 @@
 };
 
 /// A job as the leader keeps it.
-struct JobRecord {
+struct TrackedJob {
     Submission submission_;
     std::vector<OccurrenceState> occurrences_;
     JobPhase phase_ = JobPhase::Queued;
@@ -82,7 +82,7 @@
 };
 
 /// Prepares the state of a job without any progress.
-[[nodiscard]] auto makeJobRecord(Submission submission) -> JobRecord;
+[[nodiscard]] auto makeTrackedJob(Submission submission) -> TrackedJob;
 
 /// Time of day in Unix milliseconds at which an occurrence is due; zero for a job that runs at once.
 [[nodiscard]] auto dueTime(const JobPlan &plan, std::uint32_t occurrence) -> std::chrono::milliseconds;
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -15,7 +15,7 @@
 constexpr unsigned MostBlamedWorkers = 2;
 
 /// True when a job has the task; a listing may come from another writer.
-auto hasTask(const JobRecord &job, const TaskRef &task) -> bool
+auto hasTask(const TrackedJob &job, const TaskRef &task) -> bool
 {
     return task.occurrence_ < job.occurrences_.size() && task.step_ < job.occurrences_[task.occurrence_].steps_.size()
         && task.index_ < job.occurrences_[task.occurrence_].steps_[task.step_].tasks_.size();
@@ -106,7 +106,7 @@
     }
 }
 
-auto FleetScheduler::applyLateEnd(JobRecord &job, const RunEnded &end) -> void
+auto FleetScheduler::applyLateEnd(TrackedJob &job, const RunEnded &end) -> void
 {
     auto &step = job.occurrences_[end.task_.occurrence_].steps_[end.task_.step_];
     const auto &plan = job.submission_.plan_.steps_[end.task_.step_];
@@ -131,7 +131,7 @@
     flush();
 }
 
-auto FleetScheduler::applyDone(JobRecord &job, const RunEnded &end) -> void
+auto FleetScheduler::applyDone(TrackedJob &job, const RunEnded &end) -> void
 {
     ++counts_.doneRuns_;
     auto &step = job.occurrences_[end.task_.occurrence_].steps_[end.task_.step_];
@@ -147,7 +147,7 @@
     completeIfDone(job);
 }
 
-auto FleetScheduler::applyFailure(JobRecord &job, const RunEnded &end) -> void
+auto FleetScheduler::applyFailure(TrackedJob &job, const RunEnded &end) -> void
 {
     ++counts_.failedRuns_;
     auto &step = job.occurrences_[end.task_.occurrence_].steps_[end.task_.step_];
@@ -172,7 +172,7 @@
     }
 }
 
-auto FleetScheduler::endGang(JobRecord &job, const RunEnded &end) -> void
+auto FleetScheduler::endGang(TrackedJob &job, const RunEnded &end) -> void
 {
     auto &step = job.occurrences_[end.task_.occurrence_].steps_[end.task_.step_];
     for (std::uint32_t index = 0; index < step.tasks_.size(); ++index) {
@@ -186,7 +186,7 @@
     }
 }
 
-auto FleetScheduler::completeIfDone(JobRecord &job) -> void
+auto FleetScheduler::completeIfDone(TrackedJob &job) -> void
 {
     for (auto &occurrence : job.occurrences_) {
         occurrence.done_ = std::all_of(occurrence.steps_.begin(), occurrence.steps_.end(), [](const StepState &step) {
@@ -199,7 +199,7 @@
     setPhase(job, JobPhase::Completed);
 }
 
-auto FleetScheduler::learn(const JobRecord &job, const RunEnded &end) -> void
+auto FleetScheduler::learn(const TrackedJob &job, const RunEnded &end) -> void
 {
     const auto *session = sessions_.find(end.worker_);
     const auto &plan = job.submission_.plan_.steps_[end.task_.step_];
