Ask for a worker's proof in one place, and log a vacancy that was not recorded

The choice of a rack compared the age of a worker's proof itself, beside isProven; both orders now call it on the session. A refused record of a vacancy was repeated without a line; it logs its epoch. Decisions stay as they are; 167 unit cases pass.

--- a/marjoramfold/dispatch/placement.cpp
+++ b/marjoramfold/dispatch/placement.cpp
@@ -129,8 +129,9 @@
     }
     const auto careful = isCareful(need);
     std::stable_sort(order.begin(), order.end(), [this, careful](const auto &left, const auto &right) {
-        if (careful && isProven(*left.second) != isProven(*right.second)) {
-            return isProven(*left.second);
+        const auto leftProven = isProven(*left.second->session_);
+        if (careful && leftProven != isProven(*right.second->session_)) {
+            return leftProven;
         }
         return left.second->room_.accelerators_ < right.second->room_.accelerators_;
     });
@@ -168,7 +169,7 @@
             room += candidate->room_.accelerators_;
         }
         const auto unproven = std::count_if(workers.begin(), workers.end(), [this, &need](const WorkerSession *worker) {
-            return isCareful(need) && now_ - worker->provenAt_ > ProofAge;
+            return isCareful(need) && !isProven(*worker);
         });
         const std::pair mark(static_cast<std::size_t>(unproven), room);
         if (!best || mark < bestMark) {
@@ -325,9 +326,9 @@
     return need.step_->gang_ || need.priority_ == 0;
 }
 
-auto Placement::isProven(const Candidate &candidate) const -> bool
+auto Placement::isProven(const WorkerSession &session) const -> bool
 {
-    return now_ - candidate.session_->provenAt_ <= ProofAge;
+    return now_ - session.provenAt_ <= ProofAge;
 }
 
 auto Placement::isIdle(const Candidate &candidate) -> bool
--- a/marjoramfold/dispatch/placement.h
+++ b/marjoramfold/dispatch/placement.h
@@ -107,7 +107,7 @@
 
     /// One bad worker fails a whole gang, and urgent work has no time for a second try: both go where runs got on last.
     [[nodiscard]] static auto isCareful(const UnitNeed &need) -> bool;
-    [[nodiscard]] auto isProven(const Candidate &candidate) const -> bool;
+    [[nodiscard]] auto isProven(const WorkerSession &session) const -> bool;
 
     std::vector<Candidate> candidates_;
     std::size_t idleWorkers_ = 0;
--- a/marjoramfold/node/election.cpp
+++ b/marjoramfold/node/election.cpp
@@ -63,9 +63,13 @@
     // The store may refuse or be silent for a while yet; check() tries again until another leader or the record shows.
     recordingVacancy_ = true;
     appender_->write({JobFeed::leadershipRecord({LeadershipAct::Resign, vacatedEpoch_, options_.instance_, options_.process_, 0})},
-                     [this, alive = std::weak_ptr(alive_)](const WriteResult & /*result*/) {
-                         if (!alive.expired()) {
-                             recordingVacancy_ = false;
+                     [this, alive = std::weak_ptr(alive_)](const WriteResult &result) {
+                         if (alive.expired()) {
+                             return;
+                         }
+                         recordingVacancy_ = false;
+                         if (!std::holds_alternative<WriteStored>(result)) {
+                             LogLine(LogSeverity::Warning, "vacancy_not_recorded").with("epoch", vacatedEpoch_);
                          }
                      });
 }
