Define each type name once, and check it

Change: an entry of the instance list is InstanceEntry, what members tell of a zone is ZoneRoom; check-layers.sh fails on a type that two headers define.

--- a/marjoramfold/entry/zonescontroller.cpp
+++ b/marjoramfold/entry/zonescontroller.cpp
@@ -181,9 +181,9 @@
     return found == zones_.end() ? nullptr : found->second->runtime_.get();
 }
 
-auto ZonesController::capacities() -> std::vector<ZoneCapacity>
+auto ZonesController::capacities() -> std::vector<ZoneRoom>
 {
-    std::vector<ZoneCapacity> capacities;
+    std::vector<ZoneRoom> capacities;
     ++capacityCounter_;
     for (const auto &[id, zone] : zones_) {
         if (zone->runtime_ && zone->runtime_->isScheduling()) {
--- a/marjoramfold/entry/zonescontroller.h
+++ b/marjoramfold/entry/zonescontroller.h
@@ -57,7 +57,7 @@
     [[nodiscard]] auto runtimeOf(const AvailabilityZoneId &zone) const -> const ZoneRuntime *;
 
     /// Capacities of the zones that this instance schedules, for the other instances.
-    [[nodiscard]] auto capacities() -> std::vector<ZoneCapacity>;
+    [[nodiscard]] auto capacities() -> std::vector<ZoneRoom>;
 
     [[nodiscard]] auto isActing() const -> bool;
 
@@ -101,7 +101,7 @@
     ZonesControllerHooks hooks_;
     RuleSetPointer rules_;
     std::map<AvailabilityZoneId, std::unique_ptr<Zone>> zones_;
-    std::vector<Instance> listedWorkers_;
+    std::vector<InstanceEntry> listedWorkers_;
     std::optional<Offset> readFrom_;
     /// Ownership records of zones that the rules do not name yet.
     std::map<AvailabilityZoneId, std::vector<FollowedRecord>> unclaimed_;
--- a/marjoramfold/log/instancelist.cpp
+++ b/marjoramfold/log/instancelist.cpp
@@ -26,11 +26,11 @@
             std::nullopt};
 }
 
-auto readInstance(const Json &item) -> Result<Instance>
+auto readInstance(const Json &item) -> Result<InstanceEntry>
 {
     constexpr std::int64_t MaxResource = 1'000'000'000;
     JsonFields fields(item);
-    Instance instance;
+    InstanceEntry instance;
     instance.id_ = fields.text("id");
     instance.role_ = fields.named<InstanceRole>("role", &instanceRoleFromString);
     instance.zone_ = fields.id<AvailabilityZoneId>("availability_zone");
@@ -83,7 +83,7 @@
     return name == "leaving" ? std::optional(InstanceState::Leaving) : std::nullopt;
 }
 
-auto encodeInstance(const Instance &instance) -> std::string
+auto encodeInstance(const InstanceEntry &instance) -> std::string
 {
     Json json{{"id", instance.id_},
               {"role", toString(instance.role_)},
@@ -110,7 +110,7 @@
     for (const auto &item : fields.array("instances")) {
         auto instance = readInstance(item);
         if (isOk(instance)) {
-            list.instances_.push_back(std::get<Instance>(std::move(instance)));
+            list.instances_.push_back(std::get<InstanceEntry>(std::move(instance)));
         } else {
             ++list.malformed_;
         }
@@ -160,7 +160,7 @@
     return list;
 }
 
-auto InstanceListClient::announce(const Instance &instance, std::function<void(Result<Success>)> done) -> void
+auto InstanceListClient::announce(const InstanceEntry &instance, std::function<void(Result<Success>)> done) -> void
 {
     HttpClientRequest request{"PUT", address_, "/v1/instances/" + instance.id_, {{"Content-Type", "application/json"}}, encodeInstance(instance), timeout_};
     http_.send(std::move(request), [done = std::move(done)](const Result<HttpClientResponse> &result) {
--- a/marjoramfold/log/instancelist.h
+++ b/marjoramfold/log/instancelist.h
@@ -26,7 +26,7 @@
 };
 
 /// One entry of the instance list.
-struct Instance {
+struct InstanceEntry {
     std::string id_;
     InstanceRole role_ = InstanceRole::Entry;
     AvailabilityZoneId zone_;
@@ -43,7 +43,7 @@
 /// The instance list as of a time in the past.
 struct InstanceList {
     WallTime asOf_;
-    std::vector<Instance> instances_;
+    std::vector<InstanceEntry> instances_;
     /// Entries that were left out because they are malformed.
     std::size_t malformed_ = 0;
 };
@@ -54,7 +54,7 @@
 [[nodiscard]] auto instanceStateFromString(std::string_view name) -> std::optional<InstanceState>;
 
 /// JSON form of an entry, also used to register an instance.
-[[nodiscard]] auto encodeInstance(const Instance &instance) -> std::string;
+[[nodiscard]] auto encodeInstance(const InstanceEntry &instance) -> std::string;
 
 /// List of an answer's body. One malformed entry does not spoil the others. Error Malformed when the list itself is wrong.
 [[nodiscard]] auto decodeInstanceList(std::string_view body) -> Result<InstanceList>;
@@ -70,7 +70,7 @@
     auto fetch(std::function<void(Result<InstanceList>)> done) -> void;
 
     /// Registers an instance, or keeps its registration alive.
-    auto announce(const Instance &instance, std::function<void(Result<Success>)> done) -> void;
+    auto announce(const InstanceEntry &instance, std::function<void(Result<Success>)> done) -> void;
 
 private:
     auto takeAnswer(const HttpClientResponse &response) -> Result<InstanceList>;
--- a/marjoramfold/membership/membershipview.cpp
+++ b/marjoramfold/membership/membershipview.cpp
@@ -274,9 +274,9 @@
     return newest;
 }
 
-auto MembershipView::capacity(const AvailabilityZoneId &zone) const -> std::optional<ZoneCapacity>
+auto MembershipView::capacity(const AvailabilityZoneId &zone) const -> std::optional<ZoneRoom>
 {
     const auto *known = knowledge_.capacity(zone);
-    return known == nullptr ? std::nullopt : std::optional<ZoneCapacity>(*known);
+    return known == nullptr ? std::nullopt : std::optional<ZoneRoom>(*known);
 }
 } // namespace Marjoramfold
--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Fails when a library module includes a module of a higher layer, or of the same layer where that is not allowed.
+# Fails when a library module includes a module of a higher layer, or of the same layer where that is not allowed; when a name
+# of the platform stands outside its folder; and when two headers define a type of the same name.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -42,5 +43,13 @@
     echo "a name of the platform stands outside platform/"
     failed=1
 fi
+# All modules share one namespace: the linker would keep one destructor for two types of the same name.
+twice=$(git grep -hoE '^(struct|class|enum class) [A-Z][A-Za-z]+[^;]*$' -- 'marjoramfold/*.h' \
+    | sed -E 's/^(struct|class|enum class) ([A-Za-z]+).*/\2/' | sort | uniq -d)
+for type in $twice; do
+    echo "the type '$type' is defined in more than one header:"
+    git grep -nE "^(struct|class|enum class) $type\b[^;]*$" -- 'marjoramfold/*.h'
+    failed=1
+done
 [ "$failed" -eq 0 ] && echo "layers: no include from a lower to a higher layer"
 exit "$failed"
--- a/standins/platform/instanceregistry.cpp
+++ b/standins/platform/instanceregistry.cpp
@@ -15,14 +15,14 @@
     lag_ = lag;
 }
 
-auto InstanceRegistry::announce(const Instance &instance, SteadyTime now) -> void
+auto InstanceRegistry::announce(const InstanceEntry &instance, SteadyTime now) -> void
 {
     auto &entry = entries_[instance.id_];
     entry.lastHeartbeat_ = now;
     record(entry, instance, now);
 }
 
-auto InstanceRegistry::addStatic(const Instance &instance, SteadyTime now) -> void
+auto InstanceRegistry::addStatic(const InstanceEntry &instance, SteadyTime now) -> void
 {
     auto &entry = entries_[instance.id_];
     entry.lastHeartbeat_.reset();
@@ -39,10 +39,10 @@
     }
 }
 
-auto InstanceRegistry::list(SteadyTime now) -> std::vector<Instance>
+auto InstanceRegistry::list(SteadyTime now) -> std::vector<InstanceEntry>
 {
     const auto asOf = now - lag_;
-    std::vector<Instance> listed;
+    std::vector<InstanceEntry> listed;
     for (auto &[id, entry] : entries_) {
         if (entry.lastHeartbeat_ && now - *entry.lastHeartbeat_ > HeartbeatTimeout) {
             const auto vanishedAt = *entry.lastHeartbeat_ + HeartbeatTimeout;
@@ -66,7 +66,7 @@
     return lag_;
 }
 
-auto InstanceRegistry::record(Entry &entry, std::optional<Instance> instance, SteadyTime at) -> void
+auto InstanceRegistry::record(Entry &entry, std::optional<InstanceEntry> instance, SteadyTime at) -> void
 {
     constexpr std::size_t MaxChanges = 32;
     const auto *last = entry.changes_.empty() ? nullptr : &entry.changes_.back().instance_;
--- a/standins/platform/instanceregistry.h
+++ b/standins/platform/instanceregistry.h
@@ -20,16 +20,16 @@
     auto setLag(std::chrono::milliseconds lag) -> void;
 
     /// Registers an instance or keeps it registered for the heartbeat time.
-    auto announce(const Instance &instance, SteadyTime now) -> void;
+    auto announce(const InstanceEntry &instance, SteadyTime now) -> void;
 
     /// Adds an instance that needs no heartbeats.
-    auto addStatic(const Instance &instance, SteadyTime now) -> void;
+    auto addStatic(const InstanceEntry &instance, SteadyTime now) -> void;
 
     /// Removes an instance.
     auto remove(const std::string &id, SteadyTime now) -> void;
 
     /// The instances as they were one lag ago.
-    [[nodiscard]] auto list(SteadyTime now) -> std::vector<Instance>;
+    [[nodiscard]] auto list(SteadyTime now) -> std::vector<InstanceEntry>;
 
     /// The lag in use.
     [[nodiscard]] auto lag() const -> std::chrono::milliseconds;
@@ -38,14 +38,14 @@
     /// A change of an instance; without a value it vanished.
     struct Change {
         SteadyTime at_;
-        std::optional<Instance> instance_;
+        std::optional<InstanceEntry> instance_;
     };
     struct Entry {
         std::deque<Change> changes_;
         std::optional<SteadyTime> lastHeartbeat_;
     };
 
-    auto record(Entry &entry, std::optional<Instance> instance, SteadyTime at) -> void;
+    auto record(Entry &entry, std::optional<InstanceEntry> instance, SteadyTime at) -> void;
 
     std::chrono::milliseconds lag_{1'000};
     std::map<std::string, Entry> entries_;
--- a/tests/contract/test_log.cpp
+++ b/tests/contract/test_log.cpp
@@ -368,7 +368,7 @@
     HttpFixture log;
     InstanceListClient list(log.http_, log.address_);
     log.service_.instances().setLag(milliseconds(150));
-    Instance worker{"w1", InstanceRole::Worker, AvailabilityZoneId("cluj-a"), "127.0.0.1:9", InstanceState::Live, RackId("r1"), {8, 130, 500'000}, ""};
+    InstanceEntry worker{"w1", InstanceRole::Worker, AvailabilityZoneId("cluj-a"), "127.0.0.1:9", InstanceState::Live, RackId("r1"), {8, 130, 500'000}, ""};
     const auto fetch = [&] {
         const auto fetched = await<InstanceList>(log.context_, [&](auto done) {
             list.fetch(std::move(done));
@@ -424,7 +424,7 @@
     HttpFixture log;
     InstanceListClient list(log.http_, log.address_);
     log.service_.instances().setLag(milliseconds(0));
-    Instance worker{"w1", InstanceRole::Worker, AvailabilityZoneId("cluj-a"), "127.0.0.1:9", InstanceState::Live, RackId("r1"), {8, 130, 500'000}, ""};
+    InstanceEntry worker{"w1", InstanceRole::Worker, AvailabilityZoneId("cluj-a"), "127.0.0.1:9", InstanceState::Live, RackId("r1"), {8, 130, 500'000}, ""};
     const auto announce = [&] {
         REQUIRE(isOk(await<Success>(log.context_, [&](auto done) {
             list.announce(worker, std::move(done));
@@ -456,7 +456,7 @@
         {
             const auto changed = fetch().first;
             REQUIRE(changed.instances_.size() == 20);
-            CHECK(std::any_of(changed.instances_.begin(), changed.instances_.end(), [](const Instance &instance) {
+            CHECK(std::any_of(changed.instances_.begin(), changed.instances_.end(), [](const InstanceEntry &instance) {
                 return instance.state_ == InstanceState::Leaving;
             }));
         }
