Answer a waiting read of the platform stand-in once

Cause: when an append arrived after the timer of a waiting read had expired but before its handler ran, completePendingReads() answered the read and the handler answered it again. RESTinio then threw "connection already moved", the stand-in ended and was restarted with an empty log, which failed the scenarios zone-out-while-cut and failing-worker now and then. Change: the handler answers only a read that is still pending. Measured: the new test gets two answers before the change and one after it.

--- a/standins/platform/platformservice.cpp
+++ b/standins/platform/platformservice.cpp
@@ -186,8 +186,8 @@
     pendingReads_.push_back(pending);
     pending->timer_.expires_after(std::chrono::milliseconds(std::min(*wait, MaxWaitMs)));
     pending->timer_.async_wait([this, pending, alive = alive_](const std::error_code &error) {
-        if (*alive && !error) {
-            pendingReads_.remove(pending);
+        // An append may complete the read after its timer has expired but before this handler runs.
+        if (*alive && !error && pendingReads_.remove(pending) > 0) {
             answerRead(*pending);
         }
     });
--- a/tests/contract/test_log.cpp
+++ b/tests/contract/test_log.cpp
@@ -5,11 +5,13 @@
 #include "standins/platform/platformservice.h"
 #include "tests/support/memorylog.h"
 
+#include <asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <map>
 #include <set>
+#include <thread>
 
 using namespace Marjoramfold;
 
@@ -238,6 +240,26 @@
     }
 }
 
+SCENARIO("a waiting read is answered once when an append arrives as its wait expires", "[log]")
+{
+    asio::io_context context;
+    Standin::PlatformService service(context, {});
+    int answers = 0;
+    service.handle({"GET", "/v1/streams/control/records?from=1&wait_ms=5", {}, ""}, [&answers](const HttpServerResponse & /*response*/) {
+        ++answers;
+    });
+    // Both timers have expired when the io_context runs, so the append comes between the expiry of the read's wait and its handler.
+    asio::steady_timer appends(context, milliseconds(1));
+    appends.async_wait([&service](const std::error_code & /*error*/) {
+        service.handle({"POST", "/v1/streams/control/records", {}, R"({"records":[{"id":"a"}]})"}, [](const HttpServerResponse &response) {
+            CHECK(response.status_ == 200);
+        });
+    });
+    std::this_thread::sleep_for(milliseconds(20));
+    context.run();
+    CHECK(answers == 1);
+}
+
 SCENARIO("lost, slow and malformed responses are distinguished from refusals", "[log][contract]")
 {
     HttpFixture log;
