Share the refusal of a leaving target among the traffic threads

Change: the router reports the refusal before it answers the caller, and the group publishes it to all threads.

--- a/marjoramfold/routing/router.cpp
+++ b/marjoramfold/routing/router.cpp
@@ -133,6 +133,9 @@
     // Capturing this is safe: the client is a member and drops its callbacks when it is destroyed.
     targets_.execute(std::move(call), [this, number = command.number_, target = command.target_, start](std::variant<RoutedAnswer, TargetFailure> result) {
         if (auto *failure = std::get_if<TargetFailure>(&result)) {
+            if (failure->outcome_ == ExchangeOutcome::RefusedLeaving && hooks_.targetLeaving_) {
+                hooks_.targetLeaving_(target);
+            }
             handle(TargetFailed{number, failure->outcome_, std::move(failure->error_)});
             return;
         }
--- a/marjoramfold/routing/router.h
+++ b/marjoramfold/routing/router.h
@@ -27,6 +27,8 @@
     std::function<void(InstanceIncarnation owner, RoutedRequest request, AnswerCallback done)> forwardRequest_;
     /// Queries the status of a key at the incarnation that owns it.
     std::function<void(InstanceIncarnation owner, std::string key, KeyStatusCallback done)> forwardQuery_;
+    /// A target refused a request because it is leaving. Called before the request's caller is answered.
+    std::function<void(const TargetId &target)> targetLeaving_;
 };
 
 /// Limits of a router.
--- a/marjoramfold/routing/routergroup.cpp
+++ b/marjoramfold/routing/routergroup.cpp
@@ -23,6 +23,10 @@
     , issuedKeys_(options_.router_.dispatcher_.keySecrets_)
 {
     assert(!contexts.empty());
+    // The caller's next request may arrive on another thread, which must not send it to the same target.
+    hooks.targetLeaving_ = [this](const TargetId &target) {
+        publishLeaving(target);
+    };
     const auto seed = options_.router_.dispatcher_.seed_;
     for (std::size_t i = 0; i < contexts.size(); ++i) {
         auto routerOptions = options_.router_;
--- a/tests/contract/test_requestapi.cpp
+++ b/tests/contract/test_requestapi.cpp
@@ -63,12 +63,30 @@
         }
     }
 
+    /// Refuses all further requests as a target that is leaving.
+    auto leave() -> void
+    {
+        const std::lock_guard lock(mutex_);
+        leaving_ = true;
+    }
+
+    [[nodiscard]] auto refusals() -> int
+    {
+        const std::lock_guard lock(mutex_);
+        return refusals_;
+    }
+
 private:
     auto execute(HttpServerRequest request, HttpResponder respond) -> void
     {
         const std::lock_guard lock(mutex_);
-        ++executions_[findHeader(request.headers_, "Idempotency-Key").value_or("")];
         const auto correlation = findHeader(request.headers_, "X-Correlation-Id").value_or("");
+        if (leaving_) {
+            ++refusals_;
+            respond({503, {{"X-Correlation-Id", correlation}, {"X-Leaving", "true"}}, "", "text/plain", false});
+            return;
+        }
+        ++executions_[findHeader(request.headers_, "Idempotency-Key").value_or("")];
         auto answer = [respond = std::move(respond), correlation, body = std::move(request.body_)] {
             respond({200, {{"X-Correlation-Id", correlation}}, "done:" + body, "text/plain", false});
         };
@@ -84,6 +102,8 @@
     std::map<std::string, int> executions_;
     std::vector<std::function<void()>> held_;
     bool hold_ = false;
+    bool leaving_ = false;
+    int refusals_ = 0;
     HttpServer server_;
     std::string address_;
     std::thread thread_;
@@ -366,6 +386,20 @@
     CHECK(target.executions(key) == 0);
 }
 
+SCENARIO("a target that refuses a request as leaving gets no further request from either traffic thread", "[requestapi]")
+{
+    FakeTarget target;
+    const FakeEntry entry(target.address());
+    const HttpHeaders headers = {{"X-Team", "planners"}, {"X-Deadline-Ms", "200"}};
+    CHECK(entry.post(headers, "print 7", 0).status_ == 200);
+    CHECK(entry.post(headers, "print 8", 1).status_ == 200);
+    target.leave();
+    CHECK(ranOf(entry.post(headers, "print 9", 0)) == "maybe");
+    CHECK(target.refusals() == 1);
+    CHECK(ranOf(entry.post(headers, "print 10", 1)) == "no");
+    CHECK(target.refusals() == 1);
+}
+
 SCENARIO("a draining instance completes requests in progress and refuses new ones", "[requestapi]")
 {
     FakeTarget target;
