Measure the work of the control thread by kind

Cause: the logs showed that a leader fell silent, not what its thread did meanwhile. Average processor time is low. Change: a meter with nested scopes; a metric of every instance and one log line a second of the leader.

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -365,3 +365,4 @@
     return expired;
 }
 } // namespace Marjoramfold
+    const WorkMeter::Scope scope(hooks_.workMeter_, WorkKind::Ticks);
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -7,6 +7,7 @@
 #include "marjoramfold/dispatch/workerselector.h"
 #include "marjoramfold/dispatch/workersessions.h"
 #include "marjoramfold/fleet/operatorconfig.h"
+#include "marjoramfold/observability/workmeter.h"
 #include "marjoramfold/store/streamstore.h"
 
 #include <cstdint>
@@ -35,6 +36,8 @@
     std::function<const std::unordered_set<std::string> &()> evacuatedZones_;
     std::function<std::chrono::milliseconds()> wallNow_;
     std::function<void(std::chrono::milliseconds, std::function<void()>)> schedule_;
+    /// Measures the work of the control thread; null for no measurement.
+    WorkMeter *workMeter_ = nullptr;
 };
 
 /// Counters exported as metrics.
--- a/marjoramfold/http/httpclient.cpp
+++ b/marjoramfold/http/httpclient.cpp
@@ -78,6 +78,7 @@
 
     auto send(HttpClientRequest request, Callback callback) -> void
     {
+        const WorkMeter::Scope scope(options_.workMeter_, WorkKind::Transport);
         auto transfer = std::make_unique<HttpTransfer>();
         transfer->deadline_ = BootClock::now() + request.timeout_;
         transfer->request_ = std::move(request);
@@ -195,7 +196,8 @@
     auto postCallback(Callback callback, Result<HttpClientResponse> result) -> void
     {
         asio::post(context_, [weak = weak_from_this(), callback = std::move(callback), result = std::move(result)]() mutable {
-            if (!weak.expired()) {
+            if (const auto self = weak.lock(); self) {
+                const WorkMeter::Scope scope(self->options_.workMeter_, self->options_.callbackWork_);
                 callback(std::move(result));
             }
         });
@@ -400,6 +402,7 @@
 
     auto runSocketAction(curl_socket_t fd, int action) -> void
     {
+        const WorkMeter::Scope scope(options_.workMeter_, WorkKind::Transport);
         int running = 0;
         curl_multi_socket_action(multi_, fd, action, &running);
         collectFinished();
--- a/marjoramfold/http/httpclient.h
+++ b/marjoramfold/http/httpclient.h
@@ -2,6 +2,7 @@
 
 #include "marjoramfold/core/result.h"
 #include "marjoramfold/http/httpmessage.h"
+#include "marjoramfold/observability/workmeter.h"
 
 #include <asio/io_context.hpp>
 
@@ -45,6 +46,10 @@
     std::chrono::milliseconds connectTimeout_{1'000};
     /// Largest response body that is accepted, in bytes.
     std::size_t maxBodyBytes_ = 16U << 20U;
+    /// Measures the work of the client's thread; null for no measurement.
+    WorkMeter *workMeter_ = nullptr;
+    /// Kind of work that the callbacks count for.
+    WorkKind callbackWork_ = WorkKind::StoreAnswers;
 };
 
 /// Bytes of HTTP messages of finished requests, without the headers of TCP and IP.
--- a/marjoramfold/node/instance.cpp
+++ b/marjoramfold/node/instance.cpp
@@ -18,6 +18,10 @@
 namespace
 {
 constexpr std::chrono::milliseconds CheckInterval{100};
+/// Interval of the leader's log line on the work of its control thread, and the work above which it is written.
+constexpr std::chrono::milliseconds WorkReportInterval{1000};
+constexpr std::chrono::milliseconds MinReportedWork{50};
+constexpr std::int64_t MicrosecondsPerMillisecond = 1000;
 /// Pause between feed reads of an instance that does not lead; a caller's query for a running job shortens it.
 constexpr std::chrono::milliseconds FollowerReadPause{600};
 /// Longest wait of a leader's read for records. The store may hold back new records from a waiting read for a second.
@@ -269,6 +273,7 @@
             .with("feed_loaded", feedFollower_->isLoaded());
         ready_ = ready;
     }
+        const WorkMeter::Scope scope(&workMeter_, WorkKind::Callers);
     instanceMetrics_.update(ready, feed_, *appender_, leader_.get());
     election_->check();
     schedule(CheckInterval, [this] {
@@ -290,6 +295,7 @@
         return view_->evacuatedZones();
     };
     context.wallNow_ = [] {
+    const WorkMeter::Scope scope(&workMeter_, WorkKind::Feed);
         return toUnixMilliseconds(std::chrono::system_clock::now());
     };
     context.schedule_ = [this](std::chrono::milliseconds pause, std::function<void()> step) {
@@ -306,12 +312,34 @@
         });
     };
     feedFollower_->setReadTiming(std::chrono::milliseconds(0), LeaderReadWait);
+    reportWork();
     leader_ = std::make_shared<LeaderRuntime>(std::move(context), epoch, feed_);
     leader_->start();
 }
 
 auto Instance::stepDownLater(std::uint64_t epoch, const std::string &reason, std::function<void()> step) -> void
 {
+auto Instance::reportWork() -> void
+{
+    const auto now = BootClock::now();
+    if (now - workReportedAt_ < WorkReportInterval) {
+        return;
+    }
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - workReportedAt_);
+    workReportedAt_ = now;
+    const auto work = workMeter_.takeSummary();
+    instanceMetrics_.addWork(work);
+    if (!leader_ || work.total() < MinReportedWork) {
+        return;
+    }
+    LogLine line(LogSeverity::Info, "control_work");
+    line.with("elapsed_ms", elapsed.count());
+    for (std::size_t kind = 0; kind < WorkKindCount; ++kind) {
+        line.with(std::string(toString(static_cast<WorkKind>(kind))) + "_ms", work.times_.at(kind).count() / MicrosecondsPerMillisecond);
+    }
+    line.with("longest_ms", work.longest_.count() / MicrosecondsPerMillisecond).with("longest", toString(work.longestKind_));
+}
+
     // Posted, because the step destroys the LeaderRuntime that calls this.
     asio::post(control_, [this, epoch, reason, step = std::move(step)] {
         if (election_->ledEpoch() == epoch) {
@@ -331,6 +359,7 @@
     }
 }
 
+    context.workMeter_ = &workMeter_;
 auto Instance::drain(std::function<void()> done) -> void
 {
     if (draining_) {
--- a/marjoramfold/node/instance.h
+++ b/marjoramfold/node/instance.h
@@ -54,6 +54,7 @@
     auto stepDownLater(std::uint64_t epoch, const std::string &reason, std::function<void()> step) -> void;
     auto checkPeriodically() -> void;
     auto finishWhenIdle(BootTime deadline, const std::function<void()> &done) -> void;
+    auto reportWork() -> void;
     [[nodiscard]] auto makeFollower() -> std::shared_ptr<StreamFollower>;
     [[nodiscard]] auto makeAppender() -> std::shared_ptr<OrderedAppender>;
     [[nodiscard]] auto makeElection() -> std::unique_ptr<Election>;
@@ -65,6 +66,9 @@
     MetricsRegistry metrics_;
     InstanceMetrics instanceMetrics_{metrics_};
     HttpClient storeClient_;
+    WorkMeter workMeter_;
+    /// When the work of the control thread was last reported.
+    BootTime workReportedAt_{};
     HttpClient workerClient_;
     PlatformBinding binding_;
     JobFeed feed_;
--- a/marjoramfold/node/instancemetrics.cpp
+++ b/marjoramfold/node/instancemetrics.cpp
@@ -13,9 +13,17 @@
     , unresponsiveWorkers_(registry.gauge({"marjoramfold_leader_silent_workers", "Workers that do not answer the leader", {}}).at())
     , runs_(registry.gauge({"marjoramfold_leader_runs", "Runs that take room at workers", {}}).at())
     , decisions_(registry.gauge({"marjoramfold_leader_decisions", "Decisions and outcomes since this instance leads", {"kind"}}))
+    , work_(registry.counter({"marjoramfold_control_work_seconds_total", "Time that the control thread spent on each kind of work", {"kind"}}))
 {
 }
 
+auto InstanceMetrics::addWork(const WorkSummary &work) -> void
+{
+    for (std::size_t kind = 0; kind < WorkKindCount; ++kind) {
+        work_.at({std::string(toString(static_cast<WorkKind>(kind)))}).Increment(std::chrono::duration<double>(work.times_.at(kind)).count());
+    }
+}
+
 auto InstanceMetrics::update(bool ready, const JobFeed &feed, const OrderedAppender &appender, const LeaderRuntime *leader) -> void
 {
     ready_.Set(ready ? 1 : 0);
--- a/marjoramfold/node/instancemetrics.h
+++ b/marjoramfold/node/instancemetrics.h
@@ -3,6 +3,7 @@
 #include "marjoramfold/node/jobfeed.h"
 #include "marjoramfold/node/leaderruntime.h"
 #include "marjoramfold/observability/metrics.h"
+#include "marjoramfold/observability/workmeter.h"
 #include "marjoramfold/store/orderedappender.h"
 
 namespace Marjoramfold
@@ -16,6 +17,9 @@
     /// Sets all gauges to the current values; `leader` is null while the instance does not lead.
     auto update(bool ready, const JobFeed &feed, const OrderedAppender &appender, const LeaderRuntime *leader) -> void;
 
+    /// Adds the work of the control thread since the previous call.
+    auto addWork(const WorkSummary &work) -> void;
+
 private:
     prometheus::Gauge &ready_;
     prometheus::Gauge &leads_;
@@ -25,5 +29,6 @@
     prometheus::Gauge &unresponsiveWorkers_;
     prometheus::Gauge &runs_;
     GaugeFamily &decisions_;
+    CounterFamily &work_;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -159,6 +159,7 @@
     for (const auto &record : records) {
         const WorkerId id(record.record_.key_);
         if (!record.record_.value_) {
+    const WorkMeter::Scope scope(context_.workMeter_, WorkKind::WorkerList);
             listed_.erase(id);
             unreadable_.erase(id);
             scheduler_->removeWorker(id);
@@ -383,3 +384,4 @@
     return hooks;
 }
 } // namespace Marjoramfold
+    hooks.workMeter_ = context_.workMeter_;
--- a/marjoramfold/node/leaderruntime.h
+++ b/marjoramfold/node/leaderruntime.h
@@ -27,6 +27,8 @@
     std::function<const std::unordered_set<std::string> &()> evacuatedZones_;
     std::function<std::chrono::milliseconds()> wallNow_;
     std::function<void(std::chrono::milliseconds, std::function<void()>)> schedule_;
+    /// Measures the work of the control thread; null for no measurement.
+    WorkMeter *workMeter_ = nullptr;
     /// Called when a higher epoch is in force.
     std::function<void()> fenced_;
     /// Called when the store has not confirmed the leadership within the time limit in DispatchOptions.
