Do not acknowledge the end of a run whose job is not known yet

Cause: the end of a run of a job that the feed had not shown yet changed no record, and the next flush acknowledged it. If the leader ended before it knew the job, its successor found neither the end nor the run and started the task again (TWICE). Change: such ends are held back until the job is known. The offset behind each acknowledgement and the offset up to which a leader loaded the progress are logged, so that a lost end can be told from logs. Measured: the new section fails before the change ("started after its acknowledged end").

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -226,7 +226,7 @@
     if (recording_ || !scheduling_ || !alive_) {
         return;
     }
-    auto ends = sessions_.unrecordedEnds();
+    auto ends = recordableEnds();
     if (dirty_.empty()) {
         if (!pendingPhases_.empty()) {
             hooks_.publishPhases_(std::exchange(pendingPhases_, {}));
@@ -262,6 +262,22 @@
 }
 
 auto FleetScheduler::onRecorded(const std::vector<PendingStart> &starts, const std::vector<ReportedEnds> &ends) -> void
+auto FleetScheduler::recordableEnds() const -> std::vector<ReportedEnds>
+{
+    auto recordable = sessions_.unrecordedEnds();
+    // The end of a run whose job is not known yet changes no record, so the worker must keep it until the job is known.
+    for (const auto &[id, ends] : endsOfUnknownJobs_) {
+        for (const auto &end : ends) {
+            for (auto &upTo : recordable) {
+                if (end.number_ > 0 && upTo.worker_ == end.worker_ && upTo.incarnation_ == end.incarnation_) {
+                    upTo.upTo_ = std::min(upTo.upTo_, end.number_ - 1);
+                }
+            }
+        }
+    }
+    return recordable;
+}
+
 {
     for (const auto &start : starts) {
         sendStart(start);
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -125,6 +125,8 @@
     auto markDirty(TrackedJob &job, std::uint32_t occurrence) -> void;
     auto setPhase(TrackedJob &job, JobPhase phase) -> void;
     auto flush() -> void;
+    /// Ends that may be acknowledged once all changed records are stored.
+    [[nodiscard]] auto recordableEnds() const -> std::vector<ReportedEnds>;
     auto onRecorded(const std::vector<PendingStart> &starts, const std::vector<ReportedEnds> &ends) -> void;
     auto sendStart(const PendingStart &start) -> void;
     [[nodiscard]] auto reasonNotToStart(const PendingStart &start) -> std::string;
--- a/marjoramfold/dispatch/workerrenewals.cpp
+++ b/marjoramfold/dispatch/workerrenewals.cpp
@@ -243,10 +243,11 @@
                                "reported by the worker after the run was declared ended",
                                {},
                                session.incarnation_,
-                               true});
+                               true,
+                               end.number_});
             continue;
         }
-        endRun(session, {end.task_, end.run_}, end.kind_, end.checkpoint_, false, "reported by the worker");
+        endRun(session, {end.task_, end.run_}, end.kind_, end.checkpoint_, false, "reported by the worker", end.number_);
     }
 }
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -114,7 +114,7 @@
 auto WorkerSessions::endAdoptedRun(const RunEnded &end) -> void
 {
     if (auto *session = find(end.worker_); session != nullptr) {
-        endRun(*session, {end.task_, end.run_}, end.kind_, end.checkpoint_, end.neverStarted_, end.reason_);
+        endRun(*session, {end.task_, end.run_}, end.kind_, end.checkpoint_, end.neverStarted_, end.reason_, end.number_);
     }
 }
 
@@ -327,7 +327,8 @@
     return ends;
 }
 
-auto WorkerSessions::endRun(WorkerSession &session, RunKey key, RunOutcome kind, const std::string &checkpoint, bool neverStarted, const std::string &reason)
+auto WorkerSessions::endRun(
+    WorkerSession &session, RunKey key, RunOutcome kind, const std::string &checkpoint, bool neverStarted, const std::string &reason, std::uint64_t number)
     -> void
 {
     const auto found = session.runs_.find(key);
@@ -347,7 +348,8 @@
                        reason,
                        ranFor,
                        session.incarnation_,
-                       run.reported_});
+                       run.reported_,
+                       number});
     events_.capacityChanged_();
 }
 
--- a/marjoramfold/dispatch/workersessions.h
+++ b/marjoramfold/dispatch/workersessions.h
@@ -41,6 +41,8 @@
     /// A report of that incarnation contained the run.
     bool reported_ = false;
 };
+    /// Number of the end in the incarnation's reports; 0 when the worker has not reported it.
+    std::uint64_t number_ = 0;
 
 /// A worker's ends up to a number, which counts anew in each incarnation.
 struct ReportedEnds {
@@ -140,7 +142,13 @@
     auto onReportedEnds(WorkerSession &session, const WorkerReport &report) -> void;
     auto onRenewFailure(WorkerSession &session, const CommandResponse &response) -> void;
     auto sendStop(WorkerSession &session, const TaskRef &task, std::uint32_t run) -> void;
-    auto endRun(WorkerSession &session, RunKey key, RunOutcome kind, const std::string &checkpoint, bool neverStarted, const std::string &reason) -> void;
+    auto endRun(WorkerSession &session,
+                RunKey key,
+                RunOutcome kind,
+                const std::string &checkpoint,
+                bool neverStarted,
+                const std::string &reason,
+                std::uint64_t number = 0) -> void;
     auto endAllRuns(WorkerSession &session, RunOutcome kind, const std::string &reason) -> void;
     auto endRunsWithExpiredLease(WorkerSession &session, BootTime now) -> void;
     auto endRunsOfReplacedWorker(WorkerSession &session) -> void;
--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -143,6 +143,9 @@
             return;
         }
         auto page = valueOf(std::move(result));
+        if (afterKey.empty()) {
+            self->progressEnd_ = page.end_;
+        }
         const auto lastKey = page.records_.empty() ? std::string() : page.records_.back().record_.key_;
         std::move(page.records_.begin(), page.records_.end(), std::back_inserter(self->progress_));
         if (page.more_ && !lastKey.empty()) {
@@ -214,6 +217,7 @@
         .with("epoch", epoch_)
         .with("jobs", scheduler_->jobs().size())
         .with("progress_records", progress_.size())
+        .with("progress_end", progressEnd_)
         .with("workers", scheduler_->sessions().all().size())
         .with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - startedAt_).count());
     progress_.clear();
@@ -360,7 +364,12 @@
     SchedulerHooks hooks;
     hooks.storeProgress_ = [weak](std::vector<KeyedRecord> records, std::function<void(bool)> callback) {
         if (const auto self = weak.lock(); self) {
-            self->progressAppender_->write(std::move(records), [callback = std::move(callback)](const WriteResult &result) {
+            const auto count = records.size();
+            self->progressAppender_->write(std::move(records), [callback = std::move(callback), count](const WriteResult &result) {
+                // Ends are acknowledged from here on: a later leader must have loaded the stream up to a higher offset.
+                if (const auto *stored = std::get_if<WriteStored>(&result); stored != nullptr) {
+                    LogLine(LogSeverity::Info, "progress_stored").with("offset", stored->offset_).with("records", count);
+                }
                 callback(std::holds_alternative<WriteStored>(result));
             });
         }
--- a/marjoramfold/node/leaderruntime.h
+++ b/marjoramfold/node/leaderruntime.h
@@ -82,6 +82,8 @@
     std::shared_ptr<StreamFollower> workers_;
     std::unique_ptr<FleetScheduler> scheduler_;
     std::vector<StoredRecord> progress_;
+    /// End of the progress stream when its load began; all earlier records are known.
+    std::uint64_t progressEnd_ = 0;
     std::unordered_map<WorkerId, bool> listed_;
     /// Workers whose newest entry cannot be read.
     std::unordered_set<WorkerId> unreadable_;
--- a/tests/unit/test_endnumbers.cpp
+++ b/tests/unit/test_endnumbers.cpp
@@ -123,7 +123,18 @@
     fleet.hiddenJobs_ = {FirstJob};
     fleet.startLeader();
     fleet.advance(300ms);
-    fleet.show(FirstJob);
+
+    SECTION("by the same leader")
+    {
+        fleet.show(FirstJob);
+    }
+
+    SECTION("by the next leader, if this one ends before it knows the job")
+    {
+        fleet.killLeader();
+        fleet.hiddenJobs_.clear();
+        fleet.startLeader();
+    }
     fleet.advance(10s);
     CHECK(fleet.phaseOf(FirstJob) == JobPhase::Completed);
     CHECK(fleet.starts_[FirstJob].size() == 1);
