Send commands that concern many workers in turns of limited size

Cause: the start of a leadership, the return of all workers, the stop of a large job and the start of many tasks sent hundreds of commands in one turn of the control thread. Change: such commands wait in a queue, at most 32 a turn: renewals of leases first, then starts and stops, then first contacts.

--- a/marjoramfold/dispatch/dispatchoptions.h
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 
 namespace Marjoramfold
 {
@@ -48,5 +49,9 @@
     std::chrono::seconds finalStateRetention_{240};
     /// Shortest interval between scheduling passes; limits the rate of stored records under load.
     std::chrono::milliseconds minPassInterval_{10};
+    /// Largest share of the control thread's time that scheduling passes may take; the interval between passes grows accordingly.
+    double maxPassShare_ = 0.3;
+    /// Commands to workers that are sent in one turn of the control thread, apart from those that follow from a worker's response.
+    std::size_t commandsPerTurn_ = 32;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -33,7 +33,8 @@
                  [this](const WorkerId &worker, const TaskRef &task, std::uint32_t run) {
                      return onUnexpectedRun(worker, task, run);
                  }},
-                hooks_.schedule_)
+                hooks_.schedule_,
+                hooks_.workMeter_)
 {
 }
 
@@ -280,7 +281,9 @@
 
 {
     for (const auto &start : starts) {
-        sendStart(start);
+        sessions_.queueCommand(CommandLane::Runs, [this, start] {
+            sendStart(start);
+        });
     }
     sessions_.acknowledgeEnds(ends);
     flush();
--- a/marjoramfold/dispatch/workerincarnations.cpp
+++ b/marjoramfold/dispatch/workerincarnations.cpp
@@ -62,7 +62,7 @@
     }
     // The remaining time counts from when the worker wrote its entry.
     session.drainEndsAt_ = session.clockAt_ + (entry.clock_ + entry.remaining_ - session.clock_);
-    renew(session);
+    queueRenewal(session);
     if (changed) {
         events_.capacityChanged_();
     }
--- a/marjoramfold/dispatch/workerrenewals.cpp
+++ b/marjoramfold/dispatch/workerrenewals.cpp
@@ -69,6 +69,21 @@
     });
 }
 
+auto WorkerSessions::queueRenewal(WorkerSession &session) -> void
+{
+    if (session.renewing_ || session.renewalQueued_ || !alive_ || !previousRenewalsUntil_ || !needsRenewal(session)) {
+        return;
+    }
+    session.renewalQueued_ = true;
+    const auto mayWait = session.runs_.empty() && session.lastEndRecorded_ <= session.lastEndAcknowledged_;
+    queueCommand(mayWait ? CommandLane::Contacts : CommandLane::Leases, [this, id = session.entry_.id_] {
+        if (auto *current = find(id); current != nullptr) {
+            current->renewalQueued_ = false;
+            renew(*current);
+        }
+    });
+}
+
 auto WorkerSessions::onRenewResponse(
     const WorkerId &id, std::uint64_t incarnation, BootTime sentAt, const RenewCommand &command, const CommandResponse &response) -> void
 {
@@ -136,7 +151,7 @@
             return;
         }
         if (auto *current = find(id); current != nullptr) {
-            renew(*current);
+            queueRenewal(*current);
         }
     });
 }
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -96,6 +96,8 @@
     bool adopted_ = false;
     bool renewing_ = false;
     /// Send time of the last successful renewal.
+    /// A renewal waits in the sessions' PacedQueue.
+    bool renewalQueued_ = false;
     BootTime renewedAt_{};
     /// First of the current series of failed calls; zero when the last call succeeded.
     BootTime unreachableSince_{};
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -32,12 +32,13 @@
     return nameOf(StageNames, stage);
 }
 
-WorkerSessions::WorkerSessions(DispatchOptions options, std::uint64_t epoch, WorkerCalls calls, SessionEvents events, Schedule schedule)
+WorkerSessions::WorkerSessions(DispatchOptions options, std::uint64_t epoch, WorkerCalls calls, SessionEvents events, Schedule schedule, WorkMeter *workMeter)
     : options_(options)
     , epoch_(epoch)
     , calls_(std::move(calls))
     , events_(std::move(events))
     , schedule_(std::move(schedule))
+    , commands_(schedule_, options_.commandsPerTurn_, workMeter)
     , alive_(std::make_shared<bool>(true))
 {
 }
@@ -47,13 +48,19 @@
 auto WorkerSessions::shutDown() -> void
 {
     alive_.reset();
+    commands_.stop();
+}
+
+auto WorkerSessions::queueCommand(CommandLane lane, std::function<void()> send) -> void
+{
+    commands_.add(lane, std::move(send));
 }
 
 auto WorkerSessions::startRenewals(BootTime previousRenewalsUntil) -> void
 {
     previousRenewalsUntil_ = previousRenewalsUntil;
     for (const auto &[id, session] : sessions_) {
-        renew(*session);
+        queueRenewal(*session);
     }
 }
 
@@ -274,8 +281,13 @@
         return;
     }
     state.stage_ = RunStage::Stopping;
-    sendStop(*session, task, run);
-    renew(*session);
+    state.stopSentAt_ = BootClock::now();
+    queueCommand(CommandLane::Runs, [this, worker, task, run] {
+        if (auto *current = find(worker); current != nullptr && current->runs_.contains({task, run})) {
+            sendStop(*current, task, run);
+            renew(*current);
+        }
+    });
 }
 
 auto WorkerSessions::sendStop(WorkerSession &session, const TaskRef &task, std::uint32_t run) -> void
@@ -311,7 +323,7 @@
     for (const auto &ends : recorded) {
         if (auto *session = find(ends.worker_); session != nullptr && session->incarnation_ == ends.incarnation_ && ends.upTo_ <= session->lastEndSeen_) {
             session->lastEndRecorded_ = std::max(session->lastEndRecorded_, ends.upTo_);
-            renew(*session);
+            queueRenewal(*session);
         }
     }
 }
@@ -427,7 +439,7 @@
                 break;
             }
         }
-        renew(session);
+        queueRenewal(session);
     }
 }
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/workersessions.h
+++ b/marjoramfold/dispatch/workersessions.h
@@ -2,6 +2,7 @@
 
 #include "marjoramfold/core/clock.h"
 #include "marjoramfold/dispatch/dispatchoptions.h"
+#include "marjoramfold/dispatch/pacedqueue.h"
 #include "marjoramfold/dispatch/workersession.h"
 #include "marjoramfold/fleet/workerentry.h"
 
@@ -75,7 +76,8 @@
 public:
     using Schedule = std::function<void(std::chrono::milliseconds, std::function<void()>)>;
 
-    WorkerSessions(DispatchOptions options, std::uint64_t epoch, WorkerCalls calls, SessionEvents events, Schedule schedule);
+    /// A null `workMeter` measures nothing.
+    WorkerSessions(DispatchOptions options, std::uint64_t epoch, WorkerCalls calls, SessionEvents events, Schedule schedule, WorkMeter *workMeter = nullptr);
     ~WorkerSessions();
     WorkerSessions(const WorkerSessions &) = delete;
     auto operator=(const WorkerSessions &) -> WorkerSessions & = delete;
@@ -98,6 +100,9 @@
     /// Ends an adopted run whose end was reported before it was adopted.
     auto endAdoptedRun(const RunEnded &end) -> void;
 
+    /// Queues a command of the given lane; the number of commands in a turn is limited.
+    auto queueCommand(CommandLane lane, std::function<void()> send) -> void;
+
     /// Allocates capacity for a run before it is stored.
     auto place(const WorkerId &worker, const TaskRef &task, std::uint32_t run, WorkerRun state) -> void;
 
@@ -135,6 +140,8 @@
     auto onStartResponse(const WorkerId &id, std::uint64_t incarnation, const RunKey &key, std::uint64_t token, const CommandResponse &response) -> void;
     auto fenceAndQuery(WorkerSession &session) -> void;
     auto renew(WorkerSession &session) -> void;
+    /// Queues a renewal, for events that concern many workers at once.
+    auto queueRenewal(WorkerSession &session) -> void;
     auto needsRenewal(const WorkerSession &session) const -> bool;
     auto onRenewResponse(const WorkerId &id, std::uint64_t incarnation, BootTime sentAt, const RenewCommand &command, const CommandResponse &response) -> void;
     auto onReport(WorkerSession &session, BootTime sentAt, std::uint64_t token, const WorkerReport &report) -> void;
@@ -160,6 +167,7 @@
     WorkerCalls calls_;
     SessionEvents events_;
     Schedule schedule_;
+    PacedQueue commands_;
     /// Empty until startRenewals() is called.
     std::optional<BootTime> previousRenewalsUntil_;
     std::unordered_map<WorkerId, std::unique_ptr<WorkerSession>> sessions_;
