Send a leader's renewal before its other records

Cause: a renewal was skipped while the appender of the feed had a backlog. Under a steady stream of phases it waited for the next gap, and the leader could count as silent. Change: one renewal at a time, sent ahead of all waiting records; only the announcement of the epoch stays before it.

--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -271,21 +271,23 @@
 auto LeaderRuntime::renew() -> void
 {
     const auto weak = weak_from_this();
-    // One renewal at a time: renewals queued behind a slow append would add no information.
-    if (feedAppender_->backlog() == 0) {
+    // One renewal at a time: renewals queued behind a slow append would add no information. Other records never delay it.
+    if (!renewing_) {
+        renewing_ = true;
         const auto sentAt = BootClock::now();
-        feedAppender_->write({JobFeed::leadershipRecord({LeadershipAction::Renew, epoch_, context_.instance_, context_.process_, 0})},
-                             [weak, sentAt](const WriteResult &result) {
-                                 const auto self = weak.lock();
-                                 if (!self || self->stopped_) {
-                                     return;
-                                 }
-                                 if (std::holds_alternative<WriteFenced>(result)) {
-                                     self->context_.fenced_();
-                                 } else {
-                                     self->confirmedAt_ = sentAt;
-                                 }
-                             });
+        feedAppender_->writeAhead({JobFeed::leadershipRecord({LeadershipAction::Renew, epoch_, context_.instance_, context_.process_, 0})},
+                                  [weak, sentAt](const WriteResult &result) {
+                                      const auto self = weak.lock();
+                                      if (!self || self->stopped_) {
+                                          return;
+                                      }
+                                      self->renewing_ = false;
+                                      if (std::holds_alternative<WriteFenced>(result)) {
+                                          self->context_.fenced_();
+                                      } else {
+                                          self->confirmedAt_ = sentAt;
+                                      }
+                                  });
     }
     context_.schedule_(RenewInterval, [weak] {
         if (const auto self = weak.lock(); self && !self->stopped_) {
--- a/marjoramfold/node/leaderruntime.h
+++ b/marjoramfold/node/leaderruntime.h
@@ -92,6 +92,7 @@
     bool reloadingWorkers_ = false;
     bool begun_ = false;
     bool stopped_ = false;
+    bool renewing_ = false;
     BootTime startedAt_;
     /// When the store confirmed that it rejects the renewals of former leaders.
     std::optional<BootTime> othersFencedAt_;
--- a/marjoramfold/store/orderedappender.cpp
+++ b/marjoramfold/store/orderedappender.cpp
@@ -40,6 +40,14 @@
     sendNext();
 }
 
+auto OrderedAppender::writeAhead(std::vector<KeyedRecord> records, Callback callback) -> void
+{
+    // The announcement of the epoch stays first: records are stored under the announced epoch only.
+    const auto announces = !waiting_.empty() && waiting_.front().records_.empty();
+    waiting_.insert(waiting_.begin() + (announces ? 1 : 0), {std::move(records), std::move(callback)});
+    sendNext();
+}
+
 auto OrderedAppender::announceEpoch(Callback callback) -> void
 {
     write({}, std::move(callback));
--- a/marjoramfold/store/orderedappender.h
+++ b/marjoramfold/store/orderedappender.h
@@ -69,6 +69,9 @@
     /// Like write(), but returns WriteRefused if the records were not sent by `sendBy`. Once sent, they are no longer withdrawn.
     auto writeUntil(std::vector<KeyedRecord> records, BootTime sendBy, Callback callback) -> void;
 
+    /// Like write(), but sends the records before all waiting ones, so that a backlog does not delay them. They must not depend on those.
+    auto writeAhead(std::vector<KeyedRecord> records, Callback callback) -> void;
+
     /// Sets the producer's epoch at the store before the first records are written.
     auto announceEpoch(Callback callback) -> void;
 
--- a/tests/unit/test_store.cpp
+++ b/tests/unit/test_store.cpp
@@ -104,6 +104,33 @@
     }
 }
 
+TEST_CASE("records written ahead do not wait for a backlog", "[store]")
+{
+    // Guards against a leader that counts as silent because its renewals wait behind other records.
+    ScriptedStore store;
+    ManualSchedule schedule;
+    const auto appender = makeAppender(store, schedule, RefusalPolicy::Retry);
+    store.failAppends({AppendFault::Lost});
+    appender->write({record("in flight")}, {});
+    appender->write({record("first")}, {});
+    appender->write({record("second")}, {});
+    appender->writeAhead({record("renewal")}, {});
+    schedule.advance(1s);
+    CHECK(keysOf(store.log(Topic)) == std::vector<std::string>{"in flight", "renewal", "first", "second"});
+
+    SECTION("but the announcement of the epoch stays first")
+    {
+        const auto successor = makeAppender(store, schedule, RefusalPolicy::Retry, 2);
+        store.failAppends({AppendFault::Refused});
+        successor->announceEpoch({});
+        successor->writeAhead({record("renewal of the successor")}, {});
+        schedule.advance(1s);
+        REQUIRE(store.appends_.size() >= 2);
+        CHECK(store.appends_[store.appends_.size() - 2].records_.empty());
+        CHECK(keysOf(store.log(Topic)).back() == "renewal of the successor");
+    }
+}
+
 TEST_CASE("an appender fenced by a higher epoch stores nothing more", "[store]")
 {
     ScriptedStore store;
