Read the feed again before a claim, and let large instances claim first

Cause: an instance claimed when its delay had passed, on what it had read before the delay, so some dozen instances claimed after one silence; a slow store takes four appends a second. Instances with 0.12 cores led 1,100 workers and were overloaded. Change: a claim needs a read that began after the delay. Instances below 0.2 cores wait 0.6 s more, by which larger ones have read the feed, and their delays are spread over 1.5 s.

--- a/marjoramfold/node/election.cpp
+++ b/marjoramfold/node/election.cpp
@@ -89,7 +89,7 @@
 
 auto Election::claimDelay() const -> std::chrono::milliseconds
 {
-    return options_.claimDelay_ * std::max<std::int64_t>(1, storeAnswerTime_ / options_.typicalStoreAnswer_);
+    return options_.deference_ + options_.claimDelay_ * std::max<std::int64_t>(1, storeAnswerTime_ / options_.typicalStoreAnswer_);
 }
 
 auto Election::check() -> void
@@ -119,9 +119,7 @@
         if (noLeaderSince_ == BootTime{}) {
             noLeaderSince_ = now;
         }
-        if (now - noLeaderSince_ >= claimDelay()) {
-            claim();
-        }
+        claimWhenDue(now);
         return;
     }
     noLeaderSince_ = {};
@@ -130,6 +128,21 @@
     }
 }
 
+auto Election::claimWhenDue(BootTime now) -> void
+{
+    const auto dueAt = noLeaderSince_ + claimDelay();
+    if (now < dueAt) {
+        return;
+    }
+    // Another instance may have claimed during the delay. Without this read, every instance whose delay ends before its next read would
+    // claim too, and the number of claims would grow with the number of instances.
+    if (follower_->currentAsOf() >= dueAt) {
+        claim();
+    } else if (!probing_) {
+        probe();
+    }
+}
+
 auto Election::probe() -> void
 {
     // A new read shows whether the leader wrote nothing or this instance had not read it yet, and how fast the store answers.
--- a/marjoramfold/node/election.h
+++ b/marjoramfold/node/election.h
@@ -21,6 +21,8 @@
     std::chrono::milliseconds leaderTimeout_{900};
     /// Delay before this instance claims leadership, so that preferred instances claim first.
     std::chrono::milliseconds claimDelay_{0};
+    /// Added to the claim delay whatever the store's answer time; lets instances with more CPU claim first.
+    std::chrono::milliseconds deference_{0};
     /// Store answer times added to the leader timeout, because a slow store delays the leader's renewals too.
     int extraStoreAnswers_ = 4;
     /// Reads usually take about 8 ms. The claim delay grows in proportion to slower ones, since claims become visible later.
@@ -61,6 +63,8 @@
     /// True when the leader's last record is older than the timeout, which allows for the store's answer time.
     [[nodiscard]] auto hasTimedOut(BootTime asOf) const -> bool;
     [[nodiscard]] auto claimDelay() const -> std::chrono::milliseconds;
+    /// Claims when the claim delay has passed and a read that began after it shows no leader.
+    auto claimWhenDue(BootTime now) -> void;
     auto probe() -> void;
     auto recordResignation() -> void;
     auto claim() -> void;
--- a/marjoramfold/node/instance.cpp
+++ b/marjoramfold/node/instance.cpp
@@ -33,10 +33,14 @@
 /// The platform rejects larger bodies.
 constexpr std::size_t MaxBodyBytes = 262'144;
 constexpr std::chrono::seconds CallerIdleTimeout{60};
+/// Core share from which an instance can lead a large fleet; instances with less claim only if none of these does.
+constexpr double LeadingCoreShare = 0.2;
 /// Claim delay of an instance without a core share; a larger share shortens it, so that instances with more CPU claim first.
 constexpr std::chrono::milliseconds MaxClaimDelay{600};
 /// Range of the delay derived from the instance's name, so that equal instances do not claim at once.
 constexpr std::chrono::milliseconds ClaimDelaySpread{150};
+/// The same for instances below LeadingCoreShare, of which a site may have hundreds.
+constexpr std::chrono::milliseconds SmallClaimDelaySpread{1500};
 
 auto serverOptions(const std::string &address) -> HttpServerOptions
 {
@@ -59,7 +63,9 @@
 auto claimDelayOf(const NodeSettings &settings) -> std::chrono::milliseconds
 {
     const auto delayFactor = 1.0 / (1.0 + 8.0 * settings.coreShare_);
-    const auto spread = std::hash<std::string>()(settings.name_) % static_cast<std::size_t>(ClaimDelaySpread.count());
+    const auto isSmall = settings.coreShare_ < LeadingCoreShare;
+    const auto spreadRange = isSmall ? SmallClaimDelaySpread : ClaimDelaySpread;
+    const auto spread = std::hash<std::string>()(settings.name_) % static_cast<std::size_t>(spreadRange.count());
     return std::chrono::milliseconds(static_cast<std::int64_t>(delayFactor * delayFactor * static_cast<double>(MaxClaimDelay.count())))
         + std::chrono::milliseconds(spread);
 }
@@ -85,6 +91,13 @@
         schedule(pause, std::move(step));
     };
     feedFollower_ = makeFollower();
+
+/// Delay of an instance below LeadingCoreShare that a slow store does not prolong: larger instances may learn up to a read pause later
+/// that there is no leader.
+auto deferenceOf(const NodeSettings &settings) -> std::chrono::milliseconds
+{
+    return settings.coreShare_ < LeadingCoreShare ? FollowerReadPause : std::chrono::milliseconds(0);
+}
     appender_ = makeAppender();
     view_ = std::make_unique<OperatorView>(binding_, scheduleStep, [this] {
         if (leader_) {
@@ -190,6 +203,7 @@
     });
 }
 
+    options.deference_ = deferenceOf(settings_);
 auto Instance::start() -> void
 {
     callerServer_ = std::make_unique<HttpServer>(traffic_, serverOptions(settings_.callerAddress_), [this](HttpServerRequest request, HttpResponder respond) {
--- a/tests/unit/test_election.cpp
+++ b/tests/unit/test_election.cpp
@@ -3,6 +3,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
 using namespace Marjoramfold;
 using namespace Marjoramfold::Test;
 using namespace std::chrono_literals;
@@ -11,13 +16,14 @@
 {
 /// The election-related objects of one instance on a shared store.
 struct Candidate {
-    Candidate(const std::string &name, std::uint64_t process, ScriptedStore &store, ManualSchedule &schedule)
+    Candidate(const std::string &name, std::uint64_t process, ScriptedStore &store, ManualSchedule &schedule, std::chrono::milliseconds claimDelay = {})
         : follower_(makeFeedFollower(store, schedule, feed_))
         , appender_(makeFeedAppender(store, schedule, name))
     {
         ElectionOptions election;
         election.instance_ = name;
         election.process_ = process;
+        election.claimDelay_ = claimDelay;
         election_ = std::make_unique<Election>(election, feed_, follower_, appender_, Election::Hooks{[](std::uint64_t) {}, [] {}});
         follower_->start();
     }
@@ -29,6 +35,55 @@
 };
 } // namespace
 
+TEST_CASE("few of many instances claim when the leader falls silent", "[election]")
+{
+    // Guards against claims of all instances, which use up the appends of a slow store.
+    auto now = BootTime(100s);
+    BootClock::useSource([&now] {
+        return now;
+    });
+    ScriptedStore store;
+    ManualSchedule schedule;
+    constexpr int Instances = 100;
+    constexpr auto ReadPause = 600ms;
+    std::vector<std::unique_ptr<Candidate>> candidates;
+    for (int i = 0; i < Instances; ++i) {
+        candidates.push_back(std::make_unique<Candidate>("instance-" + std::to_string(i), i + 1, store, schedule, std::chrono::milliseconds(i * 5)));
+        candidates.back()->follower_->setReadTiming(ReadPause, 1200ms);
+    }
+    const auto advance = [&](std::chrono::milliseconds duration) {
+        constexpr auto Step = 10ms;
+        for (auto elapsed = 0ms; elapsed < duration; elapsed += Step) {
+            now += Step;
+            schedule.advance(Step);
+            if (elapsed % 50ms == 0ms) {
+                // Callers keep handing in jobs, so the followers pause after their reads.
+                store.put(feedStream().topic_, JobFeed::cancelRecord(JobId("a")));
+            }
+            for (auto &candidate : candidates) {
+                candidate->election_->check();
+            }
+        }
+    };
+    const auto claims = [&store] {
+        const auto records = store.log(feedStream().topic_);
+        return std::count_if(records.begin(), records.end(), [](const StoredRecord &stored) {
+            return stored.record_.key_.starts_with("l/claim/");
+        });
+    };
+    // A former leader, which does not renew.
+    store.put(feedStream().topic_, JobFeed::leadershipRecord({LeadershipAction::Claim, 0, "former", 1000, 1}));
+    const auto before = claims();
+    advance(5s);
+    const auto leaders = std::count_if(candidates.begin(), candidates.end(), [](const auto &candidate) {
+        return candidate->election_->ledEpoch() != 0;
+    });
+    CHECK(leaders == 1);
+    // The new leader's renewals are not part of this test, so further claims follow each leader timeout.
+    CHECK(claims() - before <= 8);
+    BootClock::useSource({});
+}
+
 TEST_CASE("another instance claims leadership only after the leader has timed out or resigned", "[election]")
 {
     auto now = BootTime(100s);
