Let scheduling passes remember what does not fit, and limit their time

Cause: each pass sorted all candidates anew and searched all of them for every waiting step, several times a step. With hundreds of steps waiting for a full fleet, passes took the whole thread.

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -262,7 +262,6 @@
         });
 }
 
-auto FleetScheduler::onRecorded(const std::vector<PendingStart> &starts, const std::vector<ReportedEnds> &ends) -> void
 auto FleetScheduler::recordableEnds() const -> std::vector<ReportedEnds>
 {
     auto recordable = sessions_.unrecordedEnds();
@@ -279,6 +278,7 @@
     return recordable;
 }
 
+auto FleetScheduler::onRecorded(const std::vector<PendingStart> &starts, const std::vector<ReportedEnds> &ends) -> void
 {
     for (const auto &start : starts) {
         sessions_.queueCommand(CommandLane::Runs, [this, start] {
@@ -354,17 +354,30 @@
         return;
     }
     passRequested_ = true;
-    hooks_.schedule_(options_.minPassInterval_, [this, alive = std::weak_ptr(alive_)] {
+    const auto pause = std::chrono::ceil<std::chrono::milliseconds>(nextPassAt_ - BootClock::now());
+    hooks_.schedule_(std::max(options_.minPassInterval_, pause), [this, alive = std::weak_ptr(alive_)] {
         if (!alive.expired()) {
             passRequested_ = false;
-            runPass();
-            flush();
+            runTimedPass();
         }
     });
 }
 
+auto FleetScheduler::runTimedPass() -> void
+{
+    const auto startedAt = BootClock::now();
+    {
+        const WorkMeter::Scope scope(hooks_.workMeter_, WorkKind::Passes);
+        runPass();
+    }
+    const auto endedAt = BootClock::now();
+    nextPassAt_ = endedAt + std::chrono::duration_cast<BootTime::duration>((endedAt - startedAt) * ((1.0 - options_.maxPassShare_) / options_.maxPassShare_));
+    flush();
+}
+
 auto FleetScheduler::tick() -> void
 {
+    const WorkMeter::Scope scope(hooks_.workMeter_, WorkKind::Ticks);
     const auto now = BootClock::now();
     sessions_.tick(now);
     findStalls();
@@ -384,4 +397,3 @@
     return expired;
 }
 } // namespace Marjoramfold
-    const WorkMeter::Scope scope(hooks_.workMeter_, WorkKind::Ticks);
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -166,6 +166,8 @@
 
     // startpass.cpp: choice and placement of ready steps.
     auto runPass() -> void;
+    /// Runs a pass and schedules the next one by the time that this one took.
+    auto runTimedPass() -> void;
     [[nodiscard]] auto readySteps() -> std::vector<ReadyStep>;
     auto collectReady(TrackedJob &job, const QueueConfig &queue, std::vector<ReadyStep> &ready) -> void;
     auto placeStep(WorkerSelector &selector, ReadyStep &ready, unsigned &reservations) -> void;
@@ -173,6 +175,8 @@
     [[nodiscard]] auto makeRequest(const ReadyStep &ready, const std::vector<std::uint32_t> &tasks) -> PlacementRequest;
     [[nodiscard]] auto choosePlacement(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request, unsigned &reservations)
         -> std::optional<PlacementDecision>;
+    /// Keeps capacity for a step whose preempted runs are still being stopped; false when there are none.
+    auto holdAwaitedWorkers(WorkerSelector &selector, const ReadyStep &ready) -> bool;
     auto logWaitingStep(const WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request) -> void;
     auto preempt(WorkerSelector &selector, const ReadyStep &ready, const PlacementDecision &choice) -> void;
     auto startTasks(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, const PlacementDecision &choice) -> void;
@@ -200,6 +204,8 @@
     SchedulerCounts counts_;
     bool scheduling_ = false;
     bool passRequested_ = false;
+    /// Passes until then would take more than their share of the control thread's time.
+    BootTime nextPassAt_{};
     bool recording_ = false;
     std::shared_ptr<bool> alive_;
     WorkerSessions sessions_;
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -51,6 +51,9 @@
     /// When the step first failed to fit since its last start; zero when it is not waiting.
     BootTime waitingSince_{};
     BootTime waitLoggedAt_{};
+    /// Workers on which lower priorities were stopped for the step, and until when they are awaited. Not stored.
+    std::vector<WorkerId> awaitedWorkers_{};
+    BootTime awaitedUntil_{};
 };
 
 /// State of one occurrence of a job.
--- /dev/null
+++ b/marjoramfold/dispatch/placementrequest.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "marjoramfold/dispatch/workersession.h"
+#include "marjoramfold/fleet/jobplan.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Marjoramfold
+{
+/// Requirements of a gang, or of independent tasks of a step, that are placed together.
+struct PlacementRequest {
+    const StepPlan *step_ = nullptr;
+    std::string pool_;
+    std::uint32_t count_ = 1;
+    int priority_ = 0;
+    /// Workers that are excluded because one of the tasks failed there.
+    std::set<WorkerId> excludedWorkers_;
+    /// Active runs of the step by worker; they count against the limit per worker.
+    std::unordered_map<WorkerId, std::uint32_t> placed_;
+};
+
+/// The workers chosen for a request.
+struct PlacementDecision {
+    /// One worker for each task; a worker may occur more than once.
+    std::vector<WorkerSession *> workers_;
+    /// Away from the data, or a gang across racks: the tasks run slower.
+    bool remote_ = false;
+    /// Runs that must stop first, with their workers; empty when the capacity is free now.
+    std::vector<std::pair<WorkerSession *, RunKey>> victims_;
+};
+
+/// Numbers of workers by state, to log why a request cannot be placed.
+struct CapacitySummary {
+    /// Match the request's pool and label and are not excluded.
+    std::size_t eligible_ = 0;
+    /// Have free capacity for one task now.
+    std::size_t withFreeCapacity_ = 0;
+    /// Of those, reserved for other requests.
+    std::size_t reserved_ = 0;
+    std::size_t idle_ = 0;
+};
+} // namespace Marjoramfold
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -19,6 +19,8 @@
 /// Delay of the first log line for a waiting step and interval of further ones; limits the log volume when the fleet is full.
 constexpr std::chrono::milliseconds FirstWaitLogDelay{2000};
 constexpr std::chrono::milliseconds WaitLogInterval{5000};
+/// Longest time for which the workers of preempted runs are awaited before others are considered.
+constexpr std::chrono::milliseconds MaxAwaitTime{300};
 /// Share of the slowdown's cost that tasks wait for a local placement before they accept a remote one.
 constexpr double LocalityWaitShare = 0.5;
 } // namespace
@@ -73,7 +75,7 @@
             ReadyStep entry{rankStep(job, occurrence, step, queue, runTimeRatioOf(queue.name_), wallNow), &job, &queue, {}};
             auto gangBlocked = false;
             for (std::uint32_t index = 0; index < stepState.tasks_.size(); ++index) {
-                const auto blocked = hasUnexpectedRun({job.submission_.id_, occurrence, step, index});
+                const auto blocked = !unexpectedRuns_.empty() && hasUnexpectedRun({job.submission_.id_, occurrence, step, index});
                 gangBlocked = gangBlocked || (blocked && stepPlan.gang_);
                 if (!stepState.tasks_[index].done_ && !stepState.tasks_[index].isActive() && !blocked) {
                     entry.tasks_.push_back(index);
@@ -141,6 +143,9 @@
     if (auto choice = selector.findPlacement(request, true); choice) {
         return choice;
     }
+    if (urgent && holdAwaitedWorkers(selector, ready)) {
+        return std::nullopt;
+    }
     const auto couldFitLocally = !prefersLocality || selector.couldFitLocally(request);
     if (urgent && couldFitLocally) {
         if (auto choice = selector.findPlacementByPreemption(request, true); choice) {
@@ -194,7 +199,7 @@
 {
     auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
     const auto now = BootClock::now();
-    if (now - state.waitingSince_ < FirstWaitLogDelay || now - state.waitLoggedAt_ < WaitLogInterval) {
+    if (state.waitingSince_ == BootTime{} || now - state.waitingSince_ < FirstWaitLogDelay || now - state.waitLoggedAt_ < WaitLogInterval) {
         return;
     }
     state.waitLoggedAt_ = now;
@@ -230,11 +235,29 @@
             .with("for_job", ready.job_->submission_.id_.value());
         sessions_.stop(session->entry_.id_, key.first, key.second);
     }
-    // Holds the freed capacity for these tasks: they rank first in the next passes, and lower ranks must not use it in this one.
-    for (auto *session : choice.workers_) {
-        selector.reserve(*session);
-        selector.allocate(*session, ready.job_->submission_.plan_.steps_[ready.rank_.step_].task_);
+    auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
+    state.awaitedUntil_ = BootClock::now() + std::min(options_.maxStopTime_, MaxAwaitTime);
+    state.awaitedWorkers_.clear();
+    for (const auto *session : choice.workers_) {
+        state.awaitedWorkers_.push_back(session->entry_.id_);
+    }
+    holdAwaitedWorkers(selector, ready);
+}
+
+auto FleetScheduler::holdAwaitedWorkers(WorkerSelector &selector, const ReadyStep &ready) -> bool
+{
+    const auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
+    if (state.awaitedUntil_ <= BootClock::now()) {
+        return false;
+    }
+    // These tasks rank first in the next passes, so lower ranks must not use the freed capacity in this one.
+    for (const auto &id : state.awaitedWorkers_) {
+        if (auto *session = sessions_.find(id); session != nullptr) {
+            selector.reserve(*session);
+            selector.allocate(*session, ready.job_->submission_.plan_.steps_[ready.rank_.step_].task_);
+        }
     }
+    return true;
 }
 
 auto FleetScheduler::makeWorkerRun(const StepPlan &plan, int priority, bool remote) const -> WorkerRun
@@ -257,6 +280,7 @@
     auto &state = job.occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
     const auto &plan = job.submission_.plan_.steps_[ready.rank_.step_];
     state.waitingSince_ = {};
+    state.awaitedUntil_ = {};
     // All members of a gang share one run number.
     std::uint32_t gangRun = 0;
     for (const auto index : tasks) {
--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -1,8 +1,6 @@
 #include "marjoramfold/dispatch/workerselector.h"
 
 #include <algorithm>
-#include <map>
-#include <memory>
 #include <utility>
 
 namespace Marjoramfold
@@ -53,9 +51,7 @@
 }
 } // namespace
 
-WorkerSelector::WorkerSelector(const std::unordered_map<WorkerId, std::unique_ptr<WorkerSession>> &sessions,
-                               const std::unordered_set<std::string> &evacuatedZones,
-                               BootTime now)
+WorkerSelector::WorkerSelector(const WorkerSessionMap &sessions, const std::unordered_set<std::string> &evacuatedZones, BootTime now)
     : now_(now)
 {
     candidates_.reserve(sessions.size());
@@ -64,19 +60,20 @@
             && !evacuatedZones.contains(session->entry_.zone_.value());
         if (usable) {
             candidates_.push_back({session.get(), session->freeCapacity(), false});
+            idleWorkers_ += isIdle(candidates_.back()) ? 1 : 0;
         }
     }
-    // A fixed order makes decisions reproducible.
-    std::sort(candidates_.begin(), candidates_.end(), [](const Candidate &left, const Candidate &right) {
-        return left.session_->entry_.id_ < right.session_->entry_.id_;
-    });
-    for (std::size_t i = 0; i < candidates_.size(); ++i) {
-        indexes_[candidates_[i].session_] = i;
-        idleWorkers_ += isIdle(candidates_[i]) ? 1 : 0;
-    }
     idleReserve_ = static_cast<std::size_t>(static_cast<double>(candidates_.size()) * IdleReserveShare);
 }
 
+auto WorkerSelector::candidateOf(const WorkerSession &session) -> Candidate *
+{
+    const auto found = std::lower_bound(candidates_.begin(), candidates_.end(), session.entry_.id_, [](const Candidate &candidate, const WorkerId &id) {
+        return candidate.session_->entry_.id_ < id;
+    });
+    return found != candidates_.end() && found->session_ == &session ? &*found : nullptr;
+}
+
 auto WorkerSelector::eligible(const Candidate &candidate, const PlacementRequest &request) const -> bool
 {
     const auto &entry = candidate.session_->entry_;
@@ -85,18 +82,21 @@
         && (label.empty() || std::find(entry.labels_.begin(), entry.labels_.end(), label) != entry.labels_.end());
 }
 
-auto WorkerSelector::groupsFor(const PlacementRequest &request, bool local, bool withoutFailuresOnly) -> std::vector<Group>
+auto WorkerSelector::groupsFor(const PlacementRequest &request, bool local, const CapacityFilter &accepts) -> std::vector<Group>
 {
     const auto &step = *request.step_;
     const auto byRack = local && step.gang_ && step.prefersOneRack_ && request.count_ > 1;
-    std::map<std::string, Group> groups;
+    std::map<std::string_view, Group> groups;
     for (auto &candidate : candidates_) {
+        // The capacity is compared first: on a full fleet it rules out almost all workers.
+        if (!accepts(candidate) || !eligible(candidate, request)) {
+            continue;
+        }
         const auto &rack = candidate.session_->entry_.rack_.value();
-        if (!eligible(candidate, request) || (withoutFailuresOnly && !candidate.session_->failedJobs_.empty())
-            || (local && !step.dataRack_.empty() && rack != step.dataRack_)) {
+        if (local && !step.dataRack_.empty() && rack != step.dataRack_) {
             continue;
         }
-        groups[byRack ? rack : std::string()].push_back(&candidate);
+        groups[byRack ? std::string_view(rack) : std::string_view()].push_back(&candidate);
     }
     std::vector<Group> result;
     for (auto &[rack, group] : groups) {
@@ -105,6 +105,17 @@
     return result;
 }
 
+auto WorkerSelector::freeAcceleratorsOf(std::string_view rack) -> std::int64_t
+{
+    if (rackFree_.empty()) {
+        for (const auto &candidate : candidates_) {
+            rackFree_[candidate.session_->entry_.rack_.value()] += candidate.free_.accelerators_;
+        }
+    }
+    const auto found = rackFree_.find(rack);
+    return found == rackFree_.end() ? 0 : found->second;
+}
+
 auto WorkerSelector::selectWorkers(const Group &group, const PlacementRequest &request) const -> std::vector<WorkerSession *>
 {
     // Best fit: workers with the fewest free accelerators come first, so that large tasks still find large free blocks.
@@ -145,15 +156,33 @@
 
 auto WorkerSelector::findPlacement(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
 {
+    if (failed_.contains(request, local, FailedRequests::Search::FreeCapacity)) {
+        return std::nullopt;
+    }
+    auto choice = searchFreeCapacity(request, local);
+    if (!choice) {
+        failed_.add(request, local, FailedRequests::Search::FreeCapacity);
+    }
+    return choice;
+}
+
+auto WorkerSelector::searchFreeCapacity(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
+{
+    const auto hasRoom = [&request](const Candidate &candidate) {
+        return candidate.free_.covers(request.step_->task_);
+    };
     if (needsHealthyWorkers(request)) {
-        if (auto choice = findPlacementIn(groupsFor(request, local, true), request, local); choice) {
+        const auto isHealthy = [&hasRoom](const Candidate &candidate) {
+            return hasRoom(candidate) && candidate.session_->failedJobs_.empty();
+        };
+        if (auto choice = findPlacementIn(groupsFor(request, local, isHealthy), request, local); choice) {
             return choice;
         }
     }
-    return findPlacementIn(groupsFor(request, local), request, local);
+    return findPlacementIn(groupsFor(request, local, hasRoom), request, local);
 }
 
-auto WorkerSelector::findPlacementIn(const std::vector<Group> &groups, const PlacementRequest &request, bool local) const -> std::optional<PlacementDecision>
+auto WorkerSelector::findPlacementIn(const std::vector<Group> &groups, const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
 {
     std::optional<PlacementDecision> best;
     std::pair<std::size_t, std::int64_t> bestScore;
@@ -163,10 +192,7 @@
             continue;
         }
         // Prefers the rack with the fewest free accelerators, to leave large free blocks.
-        std::int64_t free = 0;
-        for (const auto *candidate : group) {
-            free += candidate->free_.accelerators_;
-        }
+        const auto free = groups.size() > 1 ? freeAcceleratorsOf(group.front()->session_->entry_.rack_.value()) : 0;
         const auto withoutRecentProgress = std::count_if(workers.begin(), workers.end(), [this, &request](const WorkerSession *worker) {
             return needsHealthyWorkers(request) && !wasRecentlyHealthy(*worker);
         });
@@ -244,7 +270,10 @@
 auto WorkerSelector::cheapestAfterRemoval(const PlacementRequest &request, bool local, const RemovalCost &costOf) -> std::optional<PlacementDecision>
 {
     std::optional<std::pair<PlacementDecision, double>> best;
-    for (const auto &group : groupsFor(request, local)) {
+    const auto couldHold = [&request](const Candidate &candidate) {
+        return candidate.session_->entry_.capacity_.covers(request.step_->task_);
+    };
+    for (const auto &group : groupsFor(request, local, couldHold)) {
         auto option = selectAfterRemoval(group, request, costOf);
         if (option && (!best || option->second < best->second)) {
             best = std::move(option);
@@ -259,7 +288,10 @@
 
 auto WorkerSelector::findPlacementByPreemption(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
 {
-    return cheapestAfterRemoval(request, local, [this, &request](const WorkerRun &run) -> std::optional<double> {
+    if (failed_.contains(request, local, FailedRequests::Search::Preemption)) {
+        return std::nullopt;
+    }
+    auto choice = cheapestAfterRemoval(request, local, [this, &request](const WorkerRun &run) -> std::optional<double> {
         if (run.stage_ == RunStage::Stopping) {
             return 0.0;
         }
@@ -268,6 +300,10 @@
         }
         return preemptionCost(run, now_);
     });
+    if (!choice) {
+        failed_.add(request, local, FailedRequests::Search::Preemption);
+    }
+    return choice;
 }
 
 auto WorkerSelector::findReservation(const PlacementRequest &request, bool local) -> std::vector<WorkerSession *>
@@ -281,7 +317,10 @@
 
 auto WorkerSelector::couldFitLocally(const PlacementRequest &request) -> bool
 {
-    for (const auto &group : groupsFor(request, true)) {
+    const auto couldHold = [&request](const Candidate &candidate) {
+        return candidate.session_->entry_.capacity_.covers(request.step_->task_);
+    };
+    for (const auto &group : groupsFor(request, true, couldHold)) {
         std::uint32_t fits = 0;
         for (const auto *candidate : group) {
             fits += countFitting(
@@ -339,17 +378,19 @@
 
 auto WorkerSelector::allocate(WorkerSession &session, const ResourceVector &demand) -> void
 {
-    if (const auto found = indexes_.find(&session); found != indexes_.end()) {
-        auto &candidate = candidates_[found->second];
-        idleWorkers_ -= isIdle(candidate) ? 1 : 0;
-        candidate.free_ -= demand;
+    if (auto *candidate = candidateOf(session); candidate != nullptr) {
+        idleWorkers_ -= isIdle(*candidate) ? 1 : 0;
+        candidate->free_ -= demand;
+        if (!rackFree_.empty()) {
+            rackFree_[session.entry_.rack_.value()] -= demand.accelerators_;
+        }
     }
 }
 
 auto WorkerSelector::reserve(WorkerSession &session) -> void
 {
-    if (const auto found = indexes_.find(&session); found != indexes_.end()) {
-        candidates_[found->second].reserved_ = true;
+    if (auto *candidate = candidateOf(session); candidate != nullptr) {
+        candidate->reserved_ = true;
     }
 }
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -1,62 +1,28 @@
 #pragma once
 
+#include "marjoramfold/dispatch/failedrequests.h"
+#include "marjoramfold/dispatch/placementrequest.h"
 #include "marjoramfold/dispatch/workersession.h"
-#include "marjoramfold/fleet/jobplan.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <memory>
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
-#include <unordered_map>
+#include <string_view>
 #include <unordered_set>
 #include <utility>
 #include <vector>
 
 namespace Marjoramfold
 {
-/// Requirements of a gang, or of independent tasks of a step, that are placed together.
-struct PlacementRequest {
-    const StepPlan *step_ = nullptr;
-    std::string pool_;
-    std::uint32_t count_ = 1;
-    int priority_ = 0;
-    /// Workers that are excluded because one of the tasks failed there.
-    std::set<WorkerId> excludedWorkers_;
-    /// Active runs of the step by worker; they count against the limit per worker.
-    std::unordered_map<WorkerId, std::uint32_t> placed_;
-};
-
-/// The workers chosen for a request.
-struct PlacementDecision {
-    /// One worker for each task; a worker may occur more than once.
-    std::vector<WorkerSession *> workers_;
-    /// Away from the data, or a gang across racks: the tasks run slower.
-    bool remote_ = false;
-    /// Runs that must stop first, with their workers; empty when the capacity is free now.
-    std::vector<std::pair<WorkerSession *, RunKey>> victims_;
-};
-
-/// Numbers of workers by state, to log why a request cannot be placed.
-struct CapacitySummary {
-    /// Match the request's pool and label and are not excluded.
-    std::size_t eligible_ = 0;
-    /// Have free capacity for one task now.
-    std::size_t withFreeCapacity_ = 0;
-    /// Of those, reserved for other requests.
-    std::size_t reserved_ = 0;
-    std::size_t idle_ = 0;
-};
-
 /// Chooses workers for placement requests, based on a snapshot of the worker sessions.
 class WorkerSelector
 {
 public:
     /// Takes a snapshot of the workers that may get new work now.
-    WorkerSelector(const std::unordered_map<WorkerId, std::unique_ptr<WorkerSession>> &sessions,
-                   const std::unordered_set<std::string> &evacuatedZones,
-                   BootTime now);
+    WorkerSelector(const WorkerSessionMap &sessions, const std::unordered_set<std::string> &evacuatedZones, BootTime now);
 
     /// Placement in free capacity: a gang as a whole, of other tasks as many as fit. `local` allows only workers without a slowdown.
     [[nodiscard]] auto findPlacement(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>;
@@ -95,8 +61,16 @@
     using RemovalCost = std::function<std::optional<double>(const WorkerRun &)>;
 
     [[nodiscard]] auto eligible(const Candidate &candidate, const PlacementRequest &request) const -> bool;
-    [[nodiscard]] auto groupsFor(const PlacementRequest &request, bool local, bool withoutFailuresOnly = false) -> std::vector<Group>;
-    [[nodiscard]] auto findPlacementIn(const std::vector<Group> &groups, const PlacementRequest &request, bool local) const -> std::optional<PlacementDecision>;
+    /// Selects candidates by their capacity.
+    using CapacityFilter = std::function<bool(const Candidate &)>;
+
+    /// Candidates that match the request and the filter: one group, or one for each rack if the request needs one rack.
+    [[nodiscard]] auto groupsFor(const PlacementRequest &request, bool local, const CapacityFilter &accepts) -> std::vector<Group>;
+    [[nodiscard]] auto findPlacementIn(const std::vector<Group> &groups, const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>;
+    [[nodiscard]] auto searchFreeCapacity(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>;
+    /// Free accelerators of a rack's candidates.
+    [[nodiscard]] auto freeAcceleratorsOf(std::string_view rack) -> std::int64_t;
+    [[nodiscard]] auto candidateOf(const WorkerSession &session) -> Candidate *;
     [[nodiscard]] auto selectWorkers(const Group &group, const PlacementRequest &request) const -> std::vector<WorkerSession *>;
     [[nodiscard]] auto selectAfterRemoval(const Group &group, const PlacementRequest &request, const RemovalCost &costOf) const
         -> std::optional<std::pair<PlacementDecision, double>>;
@@ -110,11 +84,14 @@
     [[nodiscard]] static auto needsHealthyWorkers(const PlacementRequest &request) -> bool;
     [[nodiscard]] auto wasRecentlyHealthy(const WorkerSession &session) const -> bool;
 
+    /// In the order of the worker ids.
     std::vector<Candidate> candidates_;
+    FailedRequests failed_;
+    /// Free accelerators by rack; empty until the first request that needs one rack.
+    std::map<std::string_view, std::int64_t> rackFree_;
     std::size_t idleWorkers_ = 0;
     /// Number of idle workers that only urgent work may use.
     std::size_t idleReserve_ = 0;
-    std::unordered_map<const WorkerSession *, std::size_t> indexes_;
     BootTime now_;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -95,9 +96,9 @@
     /// A previous leader sent commands to this incarnation of the worker.
     bool adopted_ = false;
     bool renewing_ = false;
-    /// Send time of the last successful renewal.
     /// A renewal waits in the sessions' PacedQueue.
     bool renewalQueued_ = false;
+    /// Send time of the last successful renewal.
     BootTime renewedAt_{};
     /// First of the current series of failed calls; zero when the last call succeeded.
     BootTime unreachableSince_{};
@@ -130,4 +131,7 @@
         return free;
     }
 };
+
+/// All sessions in the order of their ids, so that decisions are reproducible.
+using WorkerSessionMap = std::map<WorkerId, std::unique_ptr<WorkerSession>>;
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -64,7 +64,7 @@
     }
 }
 
-auto WorkerSessions::all() const -> const std::unordered_map<WorkerId, std::unique_ptr<WorkerSession>> &
+auto WorkerSessions::all() const -> const WorkerSessionMap &
 {
     return sessions_;
 }
--- a/marjoramfold/dispatch/workersessions.h
+++ b/marjoramfold/dispatch/workersessions.h
@@ -41,9 +41,9 @@
     std::uint64_t incarnation_ = 0;
     /// A report of that incarnation contained the run.
     bool reported_ = false;
-};
     /// Number of the end in the incarnation's reports; 0 when the worker has not reported it.
     std::uint64_t number_ = 0;
+};
 
 /// A worker's ends up to a number, which counts anew in each incarnation.
 struct ReportedEnds {
@@ -127,7 +127,7 @@
     /// Stops all activity without notifying the workers.
     auto shutDown() -> void;
 
-    [[nodiscard]] auto all() const -> const std::unordered_map<WorkerId, std::unique_ptr<WorkerSession>> &;
+    [[nodiscard]] auto all() const -> const WorkerSessionMap &;
     [[nodiscard]] auto find(const WorkerId &id) const -> WorkerSession *;
 
 private:
@@ -170,7 +170,7 @@
     PacedQueue commands_;
     /// Empty until startRenewals() is called.
     std::optional<BootTime> previousRenewalsUntil_;
-    std::unordered_map<WorkerId, std::unique_ptr<WorkerSession>> sessions_;
+    WorkerSessionMap sessions_;
     /// Expires on shutdown, so that late callbacks do nothing.
     std::shared_ptr<bool> alive_;
 };
--- a/tests/unit/test_interventions.cpp
+++ b/tests/unit/test_interventions.cpp
@@ -258,7 +258,7 @@
 {
     // Guards against gangs on workers that pass health checks but stall or fail their runs.
     const auto now = BootTime(100s);
-    std::unordered_map<WorkerId, std::unique_ptr<WorkerSession>> sessions;
+    WorkerSessionMap sessions;
     const auto add = [&](const std::string &id, const std::string &rack, std::uint32_t used, BootTime lastHealthyAt) {
         auto &session = sessions[WorkerId(id)];
         session = std::make_unique<WorkerSession>();
