Send commands to workers over a client whose cost does not grow with their number

Cause: libcurl walks lists of all its requests and connections for each request. Its pool of 512 connections also closed one of 1,100 workers' connections for each that became idle, so that most commands opened a new one. Change: commands use a client on asio and http_parser, with as many kept connections as the instance's descriptors allow (new setting instance.max_descriptors).

--- a/marjoramfold/node/instance.cpp
+++ b/marjoramfold/node/instance.cpp
@@ -53,6 +53,28 @@
     return options;
 }
 
+/// Part of the descriptors that connections to workers may use; callers and the store need the others.
+constexpr double WorkerConnectionShare = 0.75;
+
+auto workerClientOptions(const NodeSettings &settings, WorkMeter &workMeter) -> HttpClientOptions
+{
+    // A leader has a waiting renewal and often a second command at each worker. With fewer kept connections than that, each command
+    // opens a new one.
+    HttpClientOptions options;
+    options.maxIdleConnections_ = static_cast<long>(static_cast<double>(settings.maxDescriptors_) * WorkerConnectionShare);
+    options.workMeter_ = &workMeter;
+    options.callbackWork_ = WorkKind::WorkerAnswers;
+    return options;
+}
+
+auto storeClientOptions(WorkMeter &workMeter) -> HttpClientOptions
+{
+    HttpClientOptions options;
+    options.workMeter_ = &workMeter;
+    options.callbackWork_ = WorkKind::StoreAnswers;
+    return options;
+}
+
 auto randomNumber() -> std::uint64_t
 {
     std::random_device device;
@@ -69,14 +91,21 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(delayFactor * delayFactor * static_cast<double>(MaxClaimDelay.count())))
         + std::chrono::milliseconds(spread);
 }
+
+/// Delay of an instance below LeadingCoreShare that a slow store does not prolong: larger instances may learn up to a read pause later
+/// that there is no leader.
+auto deferenceOf(const NodeSettings &settings) -> std::chrono::milliseconds
+{
+    return settings.coreShare_ < LeadingCoreShare ? FollowerReadPause : std::chrono::milliseconds(0);
+}
 } // namespace
 
 Instance::Instance(asio::io_context &control, NodeSettings settings, const MakeBinding &makeBinding)
     : control_(control)
     , settings_(std::move(settings))
     , process_(randomNumber())
-    , storeClient_(control)
-    , workerClient_(control)
+    , storeClient_(control, storeClientOptions(workMeter_))
+    , workerClient_(control, workerClientOptions(settings_, workMeter_))
     , binding_(makeBinding(
           storeClient_,
           workerClient_,
@@ -91,13 +120,6 @@
         schedule(pause, std::move(step));
     };
     feedFollower_ = makeFollower();
-
-/// Delay of an instance below LeadingCoreShare that a slow store does not prolong: larger instances may learn up to a read pause later
-/// that there is no leader.
-auto deferenceOf(const NodeSettings &settings) -> std::chrono::milliseconds
-{
-    return settings.coreShare_ < LeadingCoreShare ? FollowerReadPause : std::chrono::milliseconds(0);
-}
     appender_ = makeAppender();
     view_ = std::make_unique<OperatorView>(binding_, scheduleStep, [this] {
         if (leader_) {
@@ -181,6 +203,7 @@
     options.instance_ = settings_.name_;
     options.process_ = process_;
     options.claimDelay_ = claimDelayOf(settings_);
+    options.deference_ = deferenceOf(settings_);
     return std::make_unique<Election>(options,
                                       feed_,
                                       feedFollower_,
@@ -203,7 +226,6 @@
     });
 }
 
-    options.deference_ = deferenceOf(settings_);
 auto Instance::start() -> void
 {
     callerServer_ = std::make_unique<HttpServer>(traffic_, serverOptions(settings_.callerAddress_), [this](HttpServerRequest request, HttpResponder respond) {
@@ -251,6 +273,7 @@
     ++openCalls_;
     auto call = binding_.decodeCall_(request);
     asio::post(control_, [this, call = std::move(call), respond = std::move(respond)]() mutable {
+        const WorkMeter::Scope scope(&workMeter_, WorkKind::Callers);
         callerApi_->handle(std::move(call), [this, respond = std::move(respond)](const CallerAnswer &answer) {
             auto response = binding_.encodeAnswer_(answer);
             // Closing the connection of a draining or unready instance moves the caller's next call to another instance.
@@ -272,6 +295,7 @@
 
 auto Instance::onFeedRecords(const std::vector<StoredRecord> &records, bool loaded) -> void
 {
+    const WorkMeter::Scope scope(&workMeter_, WorkKind::Feed);
     feed_.apply(records);
     if (loaded) {
         feed_.endReload();
@@ -287,14 +311,35 @@
             .with("feed_loaded", feedFollower_->isLoaded());
         ready_ = ready;
     }
-        const WorkMeter::Scope scope(&workMeter_, WorkKind::Callers);
     instanceMetrics_.update(ready, feed_, *appender_, leader_.get());
+    reportWork();
     election_->check();
     schedule(CheckInterval, [this] {
         checkPeriodically();
     });
 }
 
+auto Instance::reportWork() -> void
+{
+    const auto now = BootClock::now();
+    if (now - workReportedAt_ < WorkReportInterval) {
+        return;
+    }
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - workReportedAt_);
+    workReportedAt_ = now;
+    const auto work = workMeter_.takeSummary();
+    instanceMetrics_.addWork(work);
+    if (!leader_ || work.total() < MinReportedWork) {
+        return;
+    }
+    LogLine line(LogSeverity::Info, "control_work");
+    line.with("elapsed_ms", elapsed.count());
+    for (std::size_t kind = 0; kind < WorkKindCount; ++kind) {
+        line.with(std::string(toString(static_cast<WorkKind>(kind))) + "_ms", work.times_.at(kind).count() / MicrosecondsPerMillisecond);
+    }
+    line.with("longest_ms", work.longest_.count() / MicrosecondsPerMillisecond).with("longest", toString(work.longestKind_));
+}
+
 auto Instance::startLeading(std::uint64_t epoch) -> void
 {
     LeaderContext context;
@@ -309,12 +354,12 @@
         return view_->evacuatedZones();
     };
     context.wallNow_ = [] {
-    const WorkMeter::Scope scope(&workMeter_, WorkKind::Feed);
         return toUnixMilliseconds(std::chrono::system_clock::now());
     };
     context.schedule_ = [this](std::chrono::milliseconds pause, std::function<void()> step) {
         schedule(pause, std::move(step));
     };
+    context.workMeter_ = &workMeter_;
     context.fenced_ = [this, epoch] {
         stepDownLater(epoch, "a higher epoch is in force", [this] {
             election_->relinquish();
@@ -326,34 +371,12 @@
         });
     };
     feedFollower_->setReadTiming(std::chrono::milliseconds(0), LeaderReadWait);
-    reportWork();
     leader_ = std::make_shared<LeaderRuntime>(std::move(context), epoch, feed_);
     leader_->start();
 }
 
 auto Instance::stepDownLater(std::uint64_t epoch, const std::string &reason, std::function<void()> step) -> void
 {
-auto Instance::reportWork() -> void
-{
-    const auto now = BootClock::now();
-    if (now - workReportedAt_ < WorkReportInterval) {
-        return;
-    }
-    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - workReportedAt_);
-    workReportedAt_ = now;
-    const auto work = workMeter_.takeSummary();
-    instanceMetrics_.addWork(work);
-    if (!leader_ || work.total() < MinReportedWork) {
-        return;
-    }
-    LogLine line(LogSeverity::Info, "control_work");
-    line.with("elapsed_ms", elapsed.count());
-    for (std::size_t kind = 0; kind < WorkKindCount; ++kind) {
-        line.with(std::string(toString(static_cast<WorkKind>(kind))) + "_ms", work.times_.at(kind).count() / MicrosecondsPerMillisecond);
-    }
-    line.with("longest_ms", work.longest_.count() / MicrosecondsPerMillisecond).with("longest", toString(work.longestKind_));
-}
-
     // Posted, because the step destroys the LeaderRuntime that calls this.
     asio::post(control_, [this, epoch, reason, step = std::move(step)] {
         if (election_->ledEpoch() == epoch) {
@@ -373,7 +396,6 @@
     }
 }
 
-    context.workMeter_ = &workMeter_;
 auto Instance::drain(std::function<void()> done) -> void
 {
     if (draining_) {
--- a/marjoramfold/node/instance.h
+++ b/marjoramfold/node/instance.h
@@ -2,6 +2,7 @@
 
 #include "marjoramfold/http/httpclient.h"
 #include "marjoramfold/http/httpserver.h"
+#include "marjoramfold/http/persistenthttpclient.h"
 #include "marjoramfold/node/callerapi.h"
 #include "marjoramfold/node/election.h"
 #include "marjoramfold/node/instancemetrics.h"
@@ -28,7 +29,7 @@
 public:
     /// Creates the platform's binding; `storeAddress` returns the address in the current settings.
     using MakeBinding = std::function<PlatformBinding(
-        HttpClient &store, HttpClient &workers, std::function<std::string()> storeAddress, std::chrono::milliseconds commandTimeout)>;
+        HttpClient &store, PersistentHttpClient &workers, std::function<std::string()> storeAddress, std::chrono::milliseconds commandTimeout)>;
 
     Instance(asio::io_context &control, NodeSettings settings, const MakeBinding &makeBinding);
     ~Instance();
@@ -53,8 +54,8 @@
     auto stopLeading() -> void;
     auto stepDownLater(std::uint64_t epoch, const std::string &reason, std::function<void()> step) -> void;
     auto checkPeriodically() -> void;
-    auto finishWhenIdle(BootTime deadline, const std::function<void()> &done) -> void;
     auto reportWork() -> void;
+    auto finishWhenIdle(BootTime deadline, const std::function<void()> &done) -> void;
     [[nodiscard]] auto makeFollower() -> std::shared_ptr<StreamFollower>;
     [[nodiscard]] auto makeAppender() -> std::shared_ptr<OrderedAppender>;
     [[nodiscard]] auto makeElection() -> std::unique_ptr<Election>;
@@ -65,11 +66,11 @@
     asio::io_context traffic_{1};
     MetricsRegistry metrics_;
     InstanceMetrics instanceMetrics_{metrics_};
-    HttpClient storeClient_;
     WorkMeter workMeter_;
     /// When the work of the control thread was last reported.
     BootTime workReportedAt_{};
-    HttpClient workerClient_;
+    HttpClient storeClient_;
+    PersistentHttpClient workerClient_;
     PlatformBinding binding_;
     JobFeed feed_;
     std::shared_ptr<StreamFollower> feedFollower_;
--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -159,10 +159,10 @@
 
 auto LeaderRuntime::onWorkerRecords(const std::vector<StoredRecord> &records, bool loaded) -> void
 {
+    const WorkMeter::Scope scope(context_.workMeter_, WorkKind::WorkerList);
     for (const auto &record : records) {
         const WorkerId id(record.record_.key_);
         if (!record.record_.value_) {
-    const WorkMeter::Scope scope(context_.workMeter_, WorkKind::WorkerList);
             listed_.erase(id);
             unreadable_.erase(id);
             scheduler_->removeWorker(id);
@@ -392,7 +392,7 @@
     hooks.evacuatedZones_ = context_.evacuatedZones_;
     hooks.wallNow_ = context_.wallNow_;
     hooks.schedule_ = context_.schedule_;
+    hooks.workMeter_ = context_.workMeter_;
     return hooks;
 }
 } // namespace Marjoramfold
-    hooks.workMeter_ = context_.workMeter_;
--- a/marjoramfold/node/nodesettings.cpp
+++ b/marjoramfold/node/nodesettings.cpp
@@ -89,11 +89,14 @@
 {
     constexpr double MaxCores = 1024;
     constexpr double MaxFarFactor = 1000;
+    constexpr double MinDescriptors = 256;
+    constexpr double MaxDescriptors = 1 << 20;
     NodeSettings settings;
     const TableReader instance(root, "instance");
     settings.name_ = instance.text("name");
     settings.zone_ = instance.text("availability_zone");
     settings.coreShare_ = instance.number("core_share", 0, MaxCores);
+    settings.maxDescriptors_ = static_cast<std::size_t>(instance.number("max_descriptors", MinDescriptors, MaxDescriptors));
     const TableReader listen(root, "listen");
     settings.callerAddress_ = listen.address("callers");
     settings.readinessAddress_ = listen.address("readiness");
--- a/marjoramfold/node/nodesettings.h
+++ b/marjoramfold/node/nodesettings.h
@@ -20,6 +20,8 @@
     std::string storeAddress_;
     /// CPU cores assigned to the instance; instances with a larger share claim leadership earlier.
     double coreShare_ = 1.0;
+    /// File descriptors that the process may open; limits the idle connections that are kept to workers.
+    std::size_t maxDescriptors_ = 4096;
     /// Longest time for which a revoked API key may still be accepted.
     std::chrono::milliseconds revokeBound_{5000};
     /// Time from SIGTERM to SIGKILL.
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -233,7 +233,7 @@
         instance.metricsAddress_ = freeAddress(context_);
         instance.storeRoute_ = std::make_unique<TcpRoute>(context_, routeTo(storePort_), options_.seed_);
         std::ofstream(options_.folder_ + "/" + instance.name_ + ".toml")
-            << "[instance]\nname = \"" << instance.name_ << "\"\navailability_zone = \"" << instance.zone_ << "\"\ncore_share = 0.25\n"
+            << "[instance]\nname = \"" << instance.name_ << "\"\navailability_zone = \"" << instance.zone_ << "\"\ncore_share = 0.25\nmax_descriptors = 4096\n"
             << "[listen]\ncallers = \"" << instance.callerAddress_ << "\"\nreadiness = \"" << instance.readinessAddress_ << "\"\nmetrics = \""
             << instance.metricsAddress_ << "\"\n"
             << "[store]\naddress = \"127.0.0.1:" << instance.storeRoute_->port() << "\"\n"
--- a/tests/unit/test_platformcodec.cpp
+++ b/tests/unit/test_platformcodec.cpp
@@ -214,6 +214,7 @@
         {"{{node_name|json}}", "\"n1\""},
         {"{{zone|json}}", "\"z\""},
         {"{{limits.cpu_share}}", "0.25"},
+        {"{{limits.max_fds}}", "4100"},
         {"{{endpoints.frontend|json}}", "\"10.0.0.1:80\""},
         {"{{endpoints.readiness|json}}", "\"10.0.0.1:81\""},
         {"{{ip}}", "10.0.0.1"},
@@ -236,6 +237,7 @@
     REQUIRE(isOk(settings));
     CHECK(valueOf(settings).shutdownGrace_ == 6500ms);
     CHECK(valueOf(settings).metricsAddress_ == "10.0.0.1:7000");
+    CHECK(valueOf(settings).maxDescriptors_ == 4100);
 
     SECTION("the error names a missing or invalid key")
     {
@@ -246,6 +248,7 @@
             {"[store]", "[shop]", "[store]"},
             {"core_share = 0.25", "core_share = ", "line"},
             {"core_share = 0.25", "core_share = nan", "instance.core_share"},
+            {"max_descriptors = 4100", "max_descriptors = 10", "instance.max_descriptors"},
             {"stop_ms = 900.0", "stop_ms = inf", "bounds.stop_ms"},
             {"\"10.0.0.2:90\"", "\"10.0.0.2:99999\"", "store.address"},
             {"\"10.0.0.2:90\"", "\"10.0.0.2:-1\"", "store.address"},
