--- a/marjoramfold/dispatch/failedrequests.cpp
+++ b/marjoramfold/dispatch/failedrequests.cpp
@@ -49,4 +49,19 @@
     const auto found = shape ? smallest_.find(*shape) : smallest_.end();
     return found != smallest_.end() && requiredTasks(request) >= found->second;
 }
+
+auto FailedRequests::addFit(const PlacementRequest &request) -> void
+{
+    if (const auto shape = shapeOf(request, true, Search::Capacity); shape) {
+        auto &largest = largestFits_[*shape];
+        largest = std::max(largest, requiredTasks(request));
+    }
+}
+
+auto FailedRequests::containsFit(const PlacementRequest &request) const -> bool
+{
+    const auto shape = shapeOf(request, true, Search::Capacity);
+    const auto found = shape ? largestFits_.find(*shape) : largestFits_.end();
+    return found != largestFits_.end() && requiredTasks(request) <= found->second;
+}
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/failedrequests.h
+++ b/marjoramfold/dispatch/failedrequests.h
@@ -21,6 +21,8 @@
     enum class Search : std::uint8_t {
         FreeCapacity,
         Preemption,
+        /// Whether the workers could hold the request if they were empty.
+        Capacity,
     };
 
     /// Records that a request found no workers. `local` tells whether only workers without a slowdown were considered.
@@ -29,6 +31,12 @@
     /// True when an equal or smaller request found no workers.
     [[nodiscard]] auto contains(const PlacementRequest &request, bool local, Search search) const -> bool;
 
+    /// Records that a request fits into the capacity of the workers, which does not change during a pass.
+    auto addFit(const PlacementRequest &request) -> void;
+
+    /// True when an equal or larger request fits into the capacity of the workers.
+    [[nodiscard]] auto containsFit(const PlacementRequest &request) const -> bool;
+
 private:
     /// What decides whether a request fits, besides its number of tasks.
     struct Shape {
@@ -52,5 +60,7 @@
 
     /// Smallest number of tasks that found no workers.
     std::map<Shape, std::uint32_t> smallest_;
+    /// Largest number of tasks that fits into the capacity.
+    std::map<Shape, std::uint32_t> largestFits_;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -316,6 +316,23 @@
 }
 
 auto WorkerSelector::couldFitLocally(const PlacementRequest &request) -> bool
+{
+    if (failed_.containsFit(request)) {
+        return true;
+    }
+    if (failed_.contains(request, true, FailedRequests::Search::Capacity)) {
+        return false;
+    }
+    const auto fits = fitsCapacity(request);
+    if (fits) {
+        failed_.addFit(request);
+    } else {
+        failed_.add(request, true, FailedRequests::Search::Capacity);
+    }
+    return fits;
+}
+
+auto WorkerSelector::fitsCapacity(const PlacementRequest &request) -> bool
 {
     const auto couldHold = [&request](const Candidate &candidate) {
         return candidate.session_->entry_.capacity_.covers(request.step_->task_);
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -70,6 +70,7 @@
     [[nodiscard]] auto searchFreeCapacity(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>;
     /// Free accelerators of a rack's candidates.
     [[nodiscard]] auto freeAcceleratorsOf(std::string_view rack) -> std::int64_t;
+    [[nodiscard]] auto fitsCapacity(const PlacementRequest &request) -> bool;
     [[nodiscard]] auto candidateOf(const WorkerSession &session) -> Candidate *;
     [[nodiscard]] auto selectWorkers(const Group &group, const PlacementRequest &request) const -> std::vector<WorkerSession *>;
     [[nodiscard]] auto selectAfterRemoval(const Group &group, const PlacementRequest &request, const RemovalCost &costOf) const
--- a/tests/unit/test_failedrequests.cpp
+++ b/tests/unit/test_failedrequests.cpp
@@ -64,6 +64,21 @@
         CHECK_FALSE(failed.contains(makeRequest(step), true, Search::Preemption));
     }
 
+    SECTION("whether a gang fits into empty workers is known for smaller and larger ones")
+    {
+        const auto four = makeStep(4, 8, true);
+        const auto three = makeStep(3, 8, true);
+        const auto five = makeStep(5, 8, true);
+        failed.addFit(makeRequest(four));
+        CHECK(failed.containsFit(makeRequest(three)));
+        CHECK(failed.containsFit(makeRequest(four)));
+        CHECK_FALSE(failed.containsFit(makeRequest(five)));
+        CHECK_FALSE(failed.contains(makeRequest(five), true, Search::Capacity));
+        failed.add(makeRequest(five), true, Search::Capacity);
+        CHECK(failed.contains(makeRequest(five), true, Search::Capacity));
+        CHECK_FALSE(failed.contains(makeRequest(four), true, Search::Capacity));
+    }
+
     SECTION("a request that depends on its own earlier runs is always searched for")
     {
         const auto step = makeStep(4, 2, false);
