Continue a failed load at its page, with a longer timeout

Cause: all 147 instances load the feed at once. The answers took longer than 700 ms, each load was given up and started again with its first page, and the store's bandwidth went into pages that nobody read any more (a metastable failure). Change: a load continues with the page that failed; the timeout doubles up to 5.6 s (7.2 s for the progress records).

--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -14,7 +14,9 @@
 /// Interval of the leader's renewal records.
 constexpr std::chrono::milliseconds RenewInterval{250};
 constexpr std::chrono::milliseconds TickInterval{100};
+/// Timeout of the first request for a page of progress records; it doubles with each failure, as a busy store answers more slowly.
 constexpr std::chrono::milliseconds LoadTimeout{900};
+constexpr std::chrono::milliseconds MaxLoadTimeout{7200};
 constexpr std::chrono::milliseconds LoadRetryPause{100};
 /// Pause between reads of the worker list: entries change with every heartbeat, but of the values that scheduling uses, such as state, address, capacity,
 /// incarnation and clock, usually only the clock changes.
@@ -101,7 +103,7 @@
             self->context_.fenced_();
             return;
         }
-        self->loadProgress({});
+        self->loadProgress({}, LoadTimeout);
     });
     renew();
     tick();
@@ -125,19 +127,19 @@
                          });
 }
 
-auto LeaderRuntime::loadProgress(const std::string &afterKey) -> void
+auto LeaderRuntime::loadProgress(const std::string &afterKey, std::chrono::milliseconds timeout) -> void
 {
     const auto weak = weak_from_this();
-    context_.binding_.store_.newest_({progressStream(), afterKey, LoadTimeout, false}, [weak, afterKey](Result<NewestPage> result) {
+    context_.binding_.store_.newest_({progressStream(), afterKey, timeout, false}, [weak, afterKey, timeout](Result<NewestPage> result) {
         const auto self = weak.lock();
         if (!self || self->stopped_) {
             return;
         }
         if (!isOk(result)) {
             LogLine(LogSeverity::Warning, "progress_load_failed").with("reason", toString(errorOf(result)));
-            self->context_.schedule_(LoadRetryPause, [weak, afterKey] {
+            self->context_.schedule_(LoadRetryPause, [weak, afterKey, timeout] {
                 if (const auto runtime = weak.lock(); runtime && !runtime->stopped_) {
-                    runtime->loadProgress(afterKey);
+                    runtime->loadProgress(afterKey, std::min(timeout * 2, MaxLoadTimeout));
                 }
             });
             return;
@@ -149,7 +151,7 @@
         const auto lastKey = page.records_.empty() ? std::string() : page.records_.back().record_.key_;
         std::move(page.records_.begin(), page.records_.end(), std::back_inserter(self->progress_));
         if (page.more_ && !lastKey.empty()) {
-            self->loadProgress(lastKey);
+            self->loadProgress(lastKey, timeout);
             return;
         }
         self->progressLoaded_ = true;
--- a/marjoramfold/node/leaderruntime.h
+++ b/marjoramfold/node/leaderruntime.h
@@ -60,7 +60,7 @@
     [[nodiscard]] auto scheduler() const -> const FleetScheduler &;
 
 private:
-    auto loadProgress(const std::string &afterKey) -> void;
+    auto loadProgress(const std::string &afterKey, std::chrono::milliseconds timeout) -> void;
     auto onWorkerRecords(const std::vector<StoredRecord> &records, bool loaded) -> void;
     auto onUnreadableEntry(const WorkerId &id, const Error &error) -> void;
     auto beginWhenReady() -> void;
--- a/marjoramfold/store/streamfollower.cpp
+++ b/marjoramfold/store/streamfollower.cpp
@@ -81,15 +81,21 @@
     firstPage_ = true;
     loading_ = true;
     afterKey_.clear();
+    loadTimeout_ = options_.answerTimeout_;
     loadStartedAt_ = BootClock::now();
     load(afterKey_);
 }
 
+auto StreamFollower::resumeLoad() -> void
+{
+    load(afterKey_);
+}
+
 auto StreamFollower::load(const std::string &afterKey) -> void
 {
     pausing_ = false;
     const auto startedAt = BootClock::now();
-    NewestRequest request{options_.stream_, afterKey, options_.answerTimeout_, failing_};
+    NewestRequest request{options_.stream_, afterKey, loadTimeout_, failing_};
     store_.newest_(std::move(request), [weak = weak_from_this(), generation = ++generation_, startedAt](Result<NewestPage> result) {
         if (const auto self = weak.lock(); self && !self->stopped_ && self->generation_ == generation) {
             self->onNewest(std::move(result), startedAt);
@@ -200,7 +206,9 @@
         LogLine(LogSeverity::Warning, "stream_lost").with("topic", options_.stream_.topic_).with("next_offset", nextOffset_).with("reason", toString(error));
     }
     if (loading_) {
-        runAfter(options_.retryPause_, &StreamFollower::restart);
+        // The pages that were read stay valid: following starts where the stream ended at the first one.
+        loadTimeout_ = std::min(loadTimeout_ * 2, options_.maxLoadTimeout_);
+        runAfter(options_.retryPause_, &StreamFollower::resumeLoad);
     } else {
         runAfter(options_.retryPause_, &StreamFollower::read);
     }
--- a/marjoramfold/store/streamfollower.h
+++ b/marjoramfold/store/streamfollower.h
@@ -22,6 +22,9 @@
     std::chrono::milliseconds shortReadPause_{30};
     /// Time allowed for an answer beyond the wait.
     std::chrono::milliseconds answerTimeout_{700};
+    /// Largest timeout of a page of a load. It doubles from answerTimeout_ with each failed page, because the answers of a busy store take
+    /// longer the more instances load at once, and a request that is given up has used the store's bandwidth in vain.
+    std::chrono::milliseconds maxLoadTimeout_{5600};
     std::chrono::milliseconds retryPause_{100};
 };
 
@@ -66,6 +69,8 @@
     };
 
     auto load(const std::string &afterKey) -> void;
+    /// Requests the page of the load that failed once more.
+    auto resumeLoad() -> void;
     auto onNewest(Result<NewestPage> result, BootTime startedAt) -> void;
     auto read() -> void;
     auto onRead(Result<ReadPage> result, BootTime startedAt) -> void;
@@ -85,6 +90,7 @@
     /// Incremented by each scheduled step and read, so that callbacks of superseded ones are ignored.
     std::uint64_t generation_ = 0;
     std::string afterKey_;
+    std::chrono::milliseconds loadTimeout_{0};
     bool firstPage_ = true;
     bool loaded_ = false;
     bool loading_ = false;
