Test that a small instance leaves the claim to a larger one

Change: a test with a larger instance that learns half a second later of the silence. Measured: without the deference the test fails, since the small instance claims first.

--- a/tests/unit/test_election.cpp
+++ b/tests/unit/test_election.cpp
@@ -16,7 +16,12 @@
 {
 /// The election-related objects of one instance on a shared store.
 struct Candidate {
-    Candidate(const std::string &name, std::uint64_t process, ScriptedStore &store, ManualSchedule &schedule, std::chrono::milliseconds claimDelay = {})
+    Candidate(const std::string &name,
+              std::uint64_t process,
+              ScriptedStore &store,
+              ManualSchedule &schedule,
+              std::chrono::milliseconds claimDelay = {},
+              std::chrono::milliseconds deference = {})
         : follower_(makeFeedFollower(store, schedule, feed_))
         , appender_(makeFeedAppender(store, schedule, name))
     {
@@ -24,6 +29,7 @@
         election.instance_ = name;
         election.process_ = process;
         election.claimDelay_ = claimDelay;
+        election.deference_ = deference;
         election_ = std::make_unique<Election>(election, feed_, follower_, appender_, Election::Hooks{[](std::uint64_t) {}, [] {}});
         follower_->start();
     }
@@ -84,6 +90,47 @@
     BootClock::useSource({});
 }
 
+TEST_CASE("a small instance leaves the claim to a larger one that learns later of the silence", "[election]")
+{
+    // Guards against a leader of a large fleet with too little processor time.
+    auto now = BootTime(100s);
+    BootClock::useSource([&now] {
+        return now;
+    });
+    ScriptedStore store;
+    ManualSchedule schedule;
+    constexpr auto ReadPause = 600ms;
+    Candidate small("small", 1, store, schedule, 150ms, ReadPause);
+    const auto former = store.put(feedStream().topic_, JobFeed::leadershipRecord({LeadershipAction::Claim, 0, "former", 9, 1})) + 1;
+    const auto advance = [&](std::chrono::milliseconds duration, Candidate *large) {
+        for (auto elapsed = 0ms; elapsed < duration; elapsed += 10ms) {
+            now += 10ms;
+            schedule.advance(10ms);
+            small.election_->check();
+            if (large != nullptr) {
+                large->election_->check();
+            }
+        }
+    };
+
+    SECTION("if there is one")
+    {
+        advance(ReadPause - 100ms, nullptr);
+        // Reads the former leader's claim only now.
+        Candidate large("large", 2, store, schedule, 24ms);
+        advance(1200ms, &large);
+        CHECK(large.election_->ledEpoch() > former);
+        CHECK(small.election_->ledEpoch() == 0);
+    }
+
+    SECTION("and claims by itself if there is none")
+    {
+        advance(3s, nullptr);
+        CHECK(small.election_->ledEpoch() > former);
+    }
+    BootClock::useSource({});
+}
+
 TEST_CASE("another instance claims leadership only after the leader has timed out or resigned", "[election]")
 {
     auto now = BootTime(100s);
