Count connections in use against the limit of kept connections

Cause, found by reading: the client limited idle connections only. With thousands of waiting renewals, idle connections of other commands came on top, and a leader with few descriptors could run out of them, which fails commands as if workers refused. Change: idle connections are closed while all connections together exceed the limit, as libcurl does.

--- a/marjoramfold/http/persistenthttpclient.cpp
+++ b/marjoramfold/http/persistenthttpclient.cpp
@@ -307,7 +307,8 @@
         connection->isIdle_ = true;
         server.idle_.push_back(connection);
         connection->idlePosition_ = idle_.insert(idle_.end(), connection);
-        if (idle_.size() > static_cast<std::size_t>(options_.maxIdleConnections_)) {
+        // As for libcurl, connections in use count too: together they must not exhaust the descriptors of the process.
+        if (connections_.size() > static_cast<std::size_t>(options_.maxIdleConnections_)) {
             close(ConnectionPointer(idle_.front()));
         }
     }
--- a/tests/contract/test_persistenthttp.cpp
+++ b/tests/contract/test_persistenthttp.cpp
@@ -177,6 +177,20 @@
         CHECK(exchanges.client_.idleConnections() == 2);
     }
 
+    SECTION("fewer while others are in use")
+    {
+        // Guards against a process that runs out of descriptors because it keeps idle connections beside many waiting requests.
+        server.answer_.clear();
+        for (int host = 2; host <= 3; ++host) {
+            exchanges.client_.send({"GET", server.address(host), "/", {}, "", 5s}, [](const Result<HttpClientResponse> & /*result*/) {});
+        }
+        exchanges.settle();
+        REQUIRE(exchanges.client_.inFlight() == 2);
+        server.answer_ = Ok;
+        CHECK(isOk(exchanges.get(address)));
+        CHECK(exchanges.client_.idleConnections() == 0);
+    }
+
     SECTION("and reads a body that ends with the connection")
     {
         server.answer_ = "HTTP/1.1 200 OK\r\n\r\nrest";
