--- a/review/world/cases.cc
+++ b/review/world/cases.cc
@@ -177,6 +177,143 @@
     return late || job.tasksRunning() > 0 || world.instanceEnded() ? Verdict::Broken : Verdict::Held;
 }
 
+/// A task fails for the last time while its route is missing from the configuration.
+auto attempts(const std::string &folder, const std::string &record, const std::string &program, bool trouble) -> Verdict
+{
+    constexpr int MaxAttempts = 2;
+    World world(folder, record, program, Bounds{});
+    world.addWorkers(makeWorkers(6));
+    const std::vector<Tenant> tenants{{"tenant-a", KeyA, 16}};
+    const Route render{"render", "/render/", 1, MaxAttempts};
+    const Route batch{"batch", "/batch/", 2, 4};
+    world.publish({render, batch}, tenants);
+    if (!world.startInstances(4)) {
+        return Verdict::CouldNotRun;
+    }
+    auto &job = world.submit("/render/", KeyA, nlohmann::json::array({step(1, 4000, 16'000, 1, 5000)}), {milliseconds(5000), true});
+    const auto task = job.id_ + ".0.0.0";
+    const auto begun = [&](std::size_t runs) {
+        return [&job, task, runs] {
+            return job.starts_[task].size() >= runs;
+        };
+    };
+    const auto failed = [&](int ends) {
+        return [&job, task, ends] {
+            return job.failedAcknowledged_[task] >= ends;
+        };
+    };
+    if (!world.runUntil(seconds(20), begun(2))) {
+        return Verdict::CouldNotRun;
+    }
+    if (trouble) {
+        world.run(seconds(1));
+        world.publish({batch}, tenants);
+    }
+    if (!world.runUntil(seconds(15), failed(2))) {
+        return Verdict::CouldNotRun;
+    }
+    world.note("both failed ends have been acknowledged");
+    if (trouble) {
+        world.run(seconds(3));
+        world.publish({render, batch}, tenants);
+    }
+    const auto again = world.runUntil(seconds(20), begun(3));
+    world.run(world.bounds().apply_);
+    world.ask(job);
+    world.note("max_attempts is 2, 2 runs have ended failed, and " + std::to_string(job.starts_[task].size()) + " were started");
+    return again || world.instanceEnded() ? Verdict::Broken : Verdict::Held;
+}
+
+/// One of the workers of a job that lasts is lost for good.
+auto lasting(const std::string &folder, const std::string &record, const std::string &program, bool trouble) -> Verdict
+{
+    constexpr std::size_t Workers = 36;
+    constexpr std::size_t Tasks = 34;
+    World world(folder, record, program, Bounds{});
+    world.addWorkers(makeWorkers(Workers));
+    world.publish({{"serving", "/serving/", 1, 4}}, {{"tenant-a", KeyA, 16}});
+    if (!world.startInstances(4)) {
+        return Verdict::CouldNotRun;
+    }
+    auto work = step(Tasks, 100'000, 400'000, 8, 60'000);
+    work["long_running"] = true;
+    auto &job = world.submit("/serving/", KeyA, nlohmann::json::array({work}), {milliseconds(0), false, true});
+    if (!world.runUntil(seconds(10), [&] {
+            return job.tasksRunning() == Tasks;
+        })) {
+        return Verdict::CouldNotRun;
+    }
+    world.run(seconds(5));
+    if (trouble) {
+        const auto found = std::find_if(world.workers().begin(), world.workers().end(), [](const auto &worker) {
+            return !worker->runningTasks().empty();
+        });
+        const auto id = (*found)->plan().id_;
+        const auto task = (*found)->runningTasks().front();
+        (*found)->crash();
+        job.running_[task].clear();
+        world.note("lost with it: " + task);
+        // The entry is removed after three ping intervals of 1.5 s.
+        world.run(milliseconds(4500));
+        world.store().put("keyed.servers", id, std::nullopt);
+        world.note("the platform removes the entry of " + id);
+    }
+    // Longer than contact_ms and the longest lease, so that the 6 s after the last run and the 4 s before the check are calm.
+    world.run(seconds(15));
+    const auto restarted = world.runUntil(NothingRunning, [&] {
+        return job.tasksRunning() == Tasks;
+    });
+    const auto idle = std::count_if(world.workers().begin(), world.workers().end(), [](const auto &worker) {
+        return worker->isUp() && worker->runningTasks().empty();
+    });
+    world.note(std::to_string(job.tasksRunning()) + " of 34 tasks run, and " + std::to_string(idle) + " sound workers run nothing");
+    if (!restarted) {
+        const auto later = world.runUntil(seconds(30), [&] {
+            return job.tasksRunning() == Tasks;
+        });
+        world.note(std::string("30 s later the task ") + (later ? "runs" : "still does not run"));
+    }
+    return restarted && !world.instanceEnded() ? Verdict::Held : Verdict::Broken;
+}
+/// A start command that is held up on its way reaches its worker after the worker has been restarted.
+auto lateOrder(const std::string &folder, const std::string &record, const std::string &program, bool trouble) -> Verdict
+{
+    World world(folder, record, program, Bounds{});
+    auto plans = makeWorkers(6);
+    plans[5].kind_ = "b";
+    const auto id = plans[5].id_;
+    world.addWorkers(plans);
+    world.publish({{"batch", "/batch/", 2, 4}}, {{"tenant-a", KeyA, 16}});
+    if (!world.startInstances(4)) {
+        return Verdict::CouldNotRun;
+    }
+    auto &worker = world.worker(id);
+    auto work = step(1, 4000, 16'000, 1, 1000);
+    work["requires"] = "b";
+    const auto sentAt = std::chrono::steady_clock::now();
+    constexpr milliseconds OrderDelay{5000};
+    worker.nextStartDelay_ = trouble ? OrderDelay : milliseconds(0);
+    auto &job = world.submit("/batch/", KeyA, nlohmann::json::array({work}), {milliseconds(1000)});
+    const auto task = job.id_ + ".0.0.0";
+    if (!world.runUntil(milliseconds(4000), [&] {
+            return job.doneAcknowledged_[task] > 0;
+        })) {
+        return Verdict::CouldNotRun;
+    }
+    world.note("the task has ended done, and the end has been acknowledged");
+    const auto startsBefore = job.starts_[task].size();
+    world.runUntil(milliseconds(3500), [sentAt] {
+        return std::chrono::steady_clock::now() - sentAt > milliseconds(4000);
+    });
+    world.ask(job);
+    worker.restart(milliseconds(950));
+    world.run(seconds(6));
+    world.ask(job);
+    const auto again = job.starts_[task].size() > startsBefore;
+    world.note(again ? "the task was started again after its acknowledged end" : "the task was not started again");
+    return again || world.instanceEnded() ? Verdict::Broken : Verdict::Held;
+}
+
 /// The only worker with a label fails one run of a task that requires the label.
 auto label(const std::string &folder, const std::string &record, const std::string &program, bool trouble) -> Verdict
 {
@@ -259,8 +396,14 @@
 
 auto cases() -> const std::map<std::string, Case> &
 {
-    static const std::map<std::string, Case> Cases{
-        {"wide-job", &wideJob}, {"guarantee", &guarantee}, {"label", &label}, {"cancelled", &cancelled}, {"estimate", &estimate}};
+    static const std::map<std::string, Case> Cases{{"wide-job", &wideJob},
+                                                   {"guarantee", &guarantee},
+                                                   {"label", &label},
+                                                   {"cancelled", &cancelled},
+                                                   {"late-order", &lateOrder},
+                                                   {"attempts", &attempts},
+                                                   {"lasting", &lasting},
+                                                   {"estimate", &estimate}};
     return Cases;
 }
 } // namespace Review
--- a/review/world/worker.cc
+++ b/review/world/worker.cc
@@ -5,6 +5,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <utility>
 
 using namespace Marjoramfold;
 
@@ -30,16 +31,42 @@
     , longestLease_(longestLease)
     , stopTime_(stopTime)
     , hooks_(std::move(hooks))
-    , bootedAt_(std::chrono::steady_clock::now())
-    , born_(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
 {
-    server_ = std::make_unique<RawHttpServer>(context_, "127.0.0.1", 0, [this](const RawRequest &request, std::size_t /*open*/, const RawResponder &respond) {
-        handle(request, respond);
-    });
-    port_ = server_->port();
+    boot();
+}
+
+auto Worker::boot() -> void
+{
+    up_ = true;
+    ++life_;
+    bootedAt_ = std::chrono::steady_clock::now();
+    born_ = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    sequence_ = 0;
+    token_ = 0;
+    leaseUntilMs_ = 0;
+    highestEnded_.clear();
+    nextEnd_ = 1;
+    if (!server_) {
+        server_ = std::make_unique<RawHttpServer>(context_, "127.0.0.1", 0, [this](const RawRequest &request, std::size_t, const RawResponder &respond) {
+            handle(request, respond);
+        });
+        port_ = server_->port();
+    }
     step();
 }
 
+auto Worker::restart(std::chrono::milliseconds downTime) -> void
+{
+    up_ = false;
+    runs_.clear();
+    ends_.clear();
+    hooks_.log_(plan_.id_, "crashes");
+    after(downTime, [this] {
+        boot();
+        hooks_.log_(plan_.id_, "starts again under its id");
+    });
+}
+
 auto Worker::plan() const -> const WorkerPlan &
 {
     return plan_;
@@ -122,6 +149,15 @@
     const auto command = nlohmann::json::parse(request.body_, nullptr, false);
     if (!command.is_object()) {
         respond(answer(400, nlohmann::json::object()));
+    } else if (request.target_ == "/marjoramfold/run-start" && nextStartDelay_.count() > 0) {
+        hooks_.log_(plan_.id_, "is sent a start command that is held up on its way");
+        after(std::exchange(nextStartDelay_, std::chrono::milliseconds(0)), [this, command, respond] {
+            const auto result = up_ ? start(command).status_ : 0;
+            hooks_.log_(plan_.id_, "gets the start command that was held up, result " + std::to_string(result));
+            RawAnswer dropped;
+            dropped.dropped_ = true;
+            respond(dropped);
+        });
     } else if (request.target_ == "/marjoramfold/run-start") {
         respond(start(command));
     } else if (request.target_ == "/marjoramfold/run-stop") {
@@ -261,8 +297,10 @@
     for (const auto &[key, how] : ends) {
         endRun(key, how);
     }
-    after(StepInterval, [this] {
-        step();
+    after(StepInterval, [this, life = life_] {
+        if (life == life_) {
+            step();
+        }
     });
 }
 } // namespace Review
--- a/review/world/worker.hh
+++ b/review/world/worker.hh
@@ -62,6 +62,12 @@
     /// Loses the worker for good: its port closes and all that it ran is gone.
     auto crash() -> void;
 
+    /// Crashes and starts again under the same id after a while, with nothing of before. The address stays open, like that of a proxy in
+    /// front of the worker; calls that arrive meanwhile are cut.
+    auto restart(std::chrono::milliseconds downTime) -> void;
+
+    /// The next start command is held up on its way: its sender gets no answer, and it reaches the worker after this time.
+    std::chrono::milliseconds nextStartDelay_{0};
     /// While set, each run fails shortly after its start.
     bool failsAll_ = false;
 
@@ -80,6 +86,7 @@
         std::string how_;
     };
 
+    auto boot() -> void;
     auto handle(const Marjoramfold::RawRequest &request, const Marjoramfold::RawResponder &respond) -> void;
     auto hold(const nlohmann::json &command, const Marjoramfold::RawResponder &respond) -> void;
     auto answerHold(std::uint64_t token, Time until, const Marjoramfold::RawResponder &respond) -> void;
@@ -110,5 +117,7 @@
     std::unique_ptr<Marjoramfold::RawHttpServer> server_;
     std::uint16_t port_ = 0;
     bool up_ = true;
+    /// Number of the life.
+    unsigned life_ = 0;
 };
 } // namespace Review
--- a/review/world/world.cc
+++ b/review/world/world.cc
@@ -19,7 +19,8 @@
 namespace
 {
 constexpr const char *Host = "review.example";
-constexpr std::chrono::milliseconds EntryInterval{500};
+/// heartbeat_ms in the settings.
+constexpr std::chrono::milliseconds EntryInterval{1500};
 constexpr std::chrono::milliseconds CallTimeout{3000};
 constexpr std::size_t MaxAttempts = 5;
 
@@ -159,6 +160,7 @@
     };
     hooks.acknowledged_ = [this](const std::string &worker, const std::string &task, int run, const std::string &how) {
         if (auto *job = jobOfTask(task); job != nullptr) {
+            job->doneAcknowledged_[task] += how == "done" ? 1 : 0;
             job->failedAcknowledged_[task] += how == "failed" ? 1 : 0;
             if (job->tasks_ <= 100) {
                 note("worker " + worker + " gets the acknowledgement of " + task + " run " + std::to_string(run) + " (" + how + ")");
--- a/review/world/world.hh
+++ b/review/world/world.hh
@@ -64,6 +64,7 @@
     std::map<std::string, std::set<int>> running_;
     std::map<std::string, int> done_;
     std::map<std::string, int> failed_;
+    std::map<std::string, int> doneAcknowledged_;
     std::map<std::string, int> failedAcknowledged_;
     std::map<std::string, Time> startedAt_;
     std::chrono::milliseconds longestRun_{0};
