Store the progress of a job in records of limited size

Cause: the progress of an occurrence was one record, which grows with the number of started tasks; at 5,000 it had 275,028 bytes, and the store takes 262,144. Ruled out: the number of commands (five jobs of 1,000 tasks run), the submission, the limit of a call. The logs had no line on it.

Change: progress is divided into records of 256 tasks, of which only the changed ones are written. The first part keeps the former key, so records of earlier versions are read, and divided when a leader begins. Records of one decision that exceed 1 MB go in several appends, in order; the state that a gang shares is made equal again when a leader failed between two of them. A part that is still too large is stored without checkpoints, else its job fails alone. The same limit for submissions: a job whose record is too large is rejected with 400 at once; before, it got 503 with a time to retry, and with it all others in the same append. append_refused is logged.

Why it works: no record grows with the size of a job any more, so nothing can make the store reject a record for its size.

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -85,6 +85,7 @@
         for (const auto &[key, value] : progress.mapped()) {
             restoreProgress(key, value);
         }
+        adoptRestoredRuns();
         if (const auto ends = endsOfUnknownJobs_.extract(submission.id_); !ends.empty()) {
             for (const auto &end : ends.mapped()) {
                 sessions_.endAdoptedRun(end);
@@ -121,37 +122,57 @@
 auto FleetScheduler::restoreProgress(const std::string &key, const std::string &value) -> void
 {
     const auto parsed = parseProgressKey(key);
-    auto *job = parsed ? findJob(parsed->first) : nullptr;
-    if (job == nullptr || parsed->second >= job->occurrences_.size()) {
+    auto *job = parsed ? findJob(parsed->job_) : nullptr;
+    if (job == nullptr || parsed->occurrence_ >= job->occurrences_.size()) {
         LogLine(LogSeverity::Warning, "progress_without_job").with("key", key);
         if (parsed && job == nullptr) {
-            progressOfUnknownJobs_[parsed->first][key] = value;
+            progressOfUnknownJobs_[parsed->job_][key] = value;
         }
         return;
     }
-    auto &occurrence = job->occurrences_[parsed->second];
-    if (const auto decoded = decodeProgress(value, occurrence); !isOk(decoded)) {
-        LogLine(LogSeverity::Error, "progress_unreadable").job(parsed->first.value()).with("reason", errorOf(decoded).message_);
+    const auto lastPart = decodeProgress(value, job->submission_.plan_, job->occurrences_[parsed->occurrence_]);
+    if (!isOk(lastPart)) {
+        LogLine(LogSeverity::Error, "progress_unreadable").job(parsed->job_.value()).with("key", key).with("reason", errorOf(lastPart).message_);
         return;
     }
-    const auto *queue = hooks_.config_().queueNamed(job->submission_.queue_);
-    for (std::uint32_t step = 0; step < occurrence.steps_.size(); ++step) {
-        const auto &plan = job->submission_.plan_.steps_[step];
-        for (std::uint32_t index = 0; index < occurrence.steps_[step].tasks_.size(); ++index) {
-            const auto &task = occurrence.steps_[step].tasks_[index];
-            if (!task.isActive()) {
-                continue;
+    restored_.insert({parsed->job_, parsed->occurrence_});
+    // Versions that did not divide the progress stored all tasks in the first part, which the next change of that part replaces.
+    for (auto part = parsed->part_ + 1; part <= valueOf(lastPart); ++part) {
+        dirty_.insert({parsed->job_, parsed->occurrence_, part});
+    }
+}
+
+auto FleetScheduler::adoptRestoredRuns() -> void
+{
+    for (const auto &[id, occurrence] : std::exchange(restored_, {})) {
+        auto *job = findJob(id);
+        if (job == nullptr) {
+            continue;
+        }
+        const auto &plan = job->submission_.plan_;
+        const auto *queue = hooks_.config_().queueNamed(job->submission_.queue_);
+        auto &steps = job->occurrences_[occurrence].steps_;
+        for (std::uint32_t step = 0; step < steps.size(); ++step) {
+            if (plan.steps_[step].gang_) {
+                unifyGang(steps[step]);
+            }
+            for (std::uint32_t index = 0; index < steps[step].tasks_.size(); ++index) {
+                const auto &task = steps[step].tasks_[index];
+                if (!task.isActive()) {
+                    continue;
+                }
+                ++steps[step].active_;
+                ++job->active_;
+                const auto run = makeWorkerRun(plan.steps_[step], queue == nullptr ? 0 : queue->priority_, false);
+                sessions_.adoptRun(task.worker_, task.workerIncarnation_, {id, occurrence, step, index}, task.lastRun_, run);
             }
-            ++occurrence.steps_[step].active_;
-            ++job->active_;
-            const TaskRef ref{parsed->first, parsed->second, step, index};
-            sessions_.adoptRun(task.worker_, task.workerIncarnation_, ref, task.lastRun_, makeWorkerRun(plan, queue == nullptr ? 0 : queue->priority_, false));
         }
     }
 }
 
 auto FleetScheduler::startScheduling(BootTime previousRenewalsUntil) -> void
 {
+    adoptRestoredRuns();
     sessions_.startRenewals(previousRenewalsUntil);
     scheduling_ = true;
     // A previous leader may have stored progress without completing or failing the job.
@@ -177,8 +198,7 @@
         }
     }
     if (job.failed_) {
-        stopRuns(job, "a task has reached its maximum number of attempts");
-        setPhase(job, JobPhase::Failed);
+        failJob(job, "a task has reached its maximum number of attempts");
     } else {
         completeIfDone(job);
     }
@@ -199,9 +219,46 @@
     sessions_.removeEntriesExcept(listed);
 }
 
-auto FleetScheduler::markDirty(TrackedJob &job, std::uint32_t occurrence) -> void
+auto FleetScheduler::failJob(TrackedJob &job, const std::string &reason) -> void
 {
-    dirty_.insert({job.submission_.id_, occurrence});
+    job.failed_ = true;
+    stopRuns(job, reason);
+    setPhase(job, JobPhase::Failed);
+}
+
+auto FleetScheduler::markDirty(const TrackedJob &job, std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) -> void
+{
+    const auto &plan = job.submission_.plan_;
+    const auto isGang = plan.steps_[step].gang_;
+    const auto last = progressPartOf(plan, step, isGang ? plan.steps_[step].count_ - 1 : index);
+    for (auto part = progressPartOf(plan, step, isGang ? 0 : index); part <= last; ++part) {
+        dirty_.insert({job.submission_.id_, occurrence, part});
+    }
+}
+
+auto FleetScheduler::takeDirtyRecords() -> std::vector<KeyedRecord>
+{
+    std::vector<KeyedRecord> records;
+    const auto dirty = std::exchange(dirty_, {});
+    // The first part comes last: stored by a version that did not divide the progress, it has to last until the others are stored.
+    for (auto key = dirty.rbegin(); key != dirty.rend(); ++key) {
+        auto *job = findJob(key->job_);
+        if (job == nullptr) {
+            continue;
+        }
+        const auto &occurrence = job->occurrences_[key->occurrence_];
+        KeyedRecord record{toString(*key), encodeProgress(occurrence, key->part_, StoredCheckpoints::All)};
+        if (storedBytes(record) > MaxRecordBytes) {
+            LogLine(LogSeverity::Error, "progress_too_large").job(key->job_.value()).with("key", record.key_).with("bytes", storedBytes(record));
+            record.value_ = encodeProgress(occurrence, key->part_, StoredCheckpoints::None);
+        }
+        if (storedBytes(record) <= MaxRecordBytes) {
+            records.push_back(std::move(record));
+        } else if (!job->isClosed()) {
+            failJob(*job, "its progress does not fit into a record of the store");
+        }
+    }
+    return records;
 }
 
 auto FleetScheduler::setPhase(TrackedJob &job, JobPhase phase) -> void
@@ -235,14 +292,8 @@
         sessions_.acknowledgeEnds(ends);
         return;
     }
-    std::vector<KeyedRecord> records;
-    for (const auto &[id, occurrence] : dirty_) {
-        if (const auto *job = findJob(id); job != nullptr) {
-            records.push_back({progressKey(id, occurrence), encodeProgress(job->occurrences_[occurrence])});
-        }
-    }
-    dirty_.clear();
     recording_ = true;
+    auto records = takeDirtyRecords();
     auto phases = std::exchange(pendingPhases_, {});
     hooks_.storeProgress_(
         std::move(records),
@@ -385,13 +436,19 @@
     requestPass();
 }
 
-auto FleetScheduler::expiredJobs() const -> std::vector<std::pair<JobId, std::uint32_t>>
+auto FleetScheduler::expiredJobs() const -> std::vector<std::pair<JobId, std::vector<ProgressKey>>>
 {
-    std::vector<std::pair<JobId, std::uint32_t>> expired;
+    std::vector<std::pair<JobId, std::vector<ProgressKey>>> expired;
     const auto now = BootClock::now();
     for (const auto &[id, job] : jobs_) {
         if (job->finalSince_ != BootTime{} && job->active_ == 0 && now - job->finalSince_ > options_.finalStateRetention_) {
-            expired.emplace_back(id, static_cast<std::uint32_t>(job->occurrences_.size()));
+            auto &keys = expired.emplace_back(id, std::vector<ProgressKey>()).second;
+            const auto parts = progressPartCount(job->submission_.plan_);
+            for (std::uint32_t occurrence = 0; occurrence < job->occurrences_.size(); ++occurrence) {
+                for (std::uint32_t part = 0; part < parts; ++part) {
+                    keys.push_back({id, occurrence, part});
+                }
+            }
         }
     }
     return expired;
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -4,6 +4,7 @@
 #include "marjoramfold/dispatch/dispatchoptions.h"
 #include "marjoramfold/dispatch/joborder.h"
 #include "marjoramfold/dispatch/jobstate.h"
+#include "marjoramfold/dispatch/progressrecord.h"
 #include "marjoramfold/dispatch/workerselector.h"
 #include "marjoramfold/dispatch/workersessions.h"
 #include "marjoramfold/fleet/operatorconfig.h"
@@ -26,7 +27,7 @@
 {
 /// Callbacks through which the scheduler stores, publishes, reads its inputs and sets timers.
 struct SchedulerHooks {
-    /// Stores progress records atomically; reports false when this leader has lost its leadership.
+    /// Stores progress records in order, in one or more appends; reports false when this leader has lost its leadership.
     std::function<void(std::vector<KeyedRecord>, std::function<void(bool)>)> storeProgress_;
     /// Publishes job phases to all instances.
     std::function<void(std::vector<std::pair<JobId, JobPhase>>)> publishPhases_;
@@ -75,7 +76,8 @@
     /// Removes a job whose records were deleted.
     auto removeJob(const JobId &id) -> void;
 
-    /// Restores a progress record that a previous leader stored; the record of an unknown job is kept until the job is added.
+    /// Restores a progress record that a previous leader stored; the record of an unknown job is kept until the job is added. Records
+    /// must be restored in the order of their keys.
     auto restoreProgress(const std::string &key, const std::string &value) -> void;
 
     /// Enables scheduling once all jobs and progress records are loaded. A previous leader may renew leases until `previousRenewalsUntil`.
@@ -95,8 +97,8 @@
     /// Stops all activity without notifying the workers.
     auto shutDown() -> void;
 
-    /// Jobs whose final state is past its retention, with their number of occurrences.
-    [[nodiscard]] auto expiredJobs() const -> std::vector<std::pair<JobId, std::uint32_t>>;
+    /// Jobs whose final state is past its retention, with the keys of their progress records.
+    [[nodiscard]] auto expiredJobs() const -> std::vector<std::pair<JobId, std::vector<ProgressKey>>>;
 
     [[nodiscard]] auto counts() const -> const SchedulerCounts &;
     [[nodiscard]] auto jobs() const -> const std::unordered_map<JobId, std::unique_ptr<TrackedJob>> &;
@@ -122,7 +124,13 @@
     auto findJob(const JobId &id) -> TrackedJob *;
     /// Sets the phase of a restored job whose progress shows that it is completed or has failed.
     auto closeIfEnded(TrackedJob &job) -> void;
-    auto markDirty(TrackedJob &job, std::uint32_t occurrence) -> void;
+    /// Adopts the active runs of the restored occurrences, once all their records are restored.
+    auto adoptRestoredRuns() -> void;
+    /// Marks the progress of a task as changed; that of a gang is common to its members.
+    auto markDirty(const TrackedJob &job, std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) -> void;
+    /// The changed progress records. Fails a job whose record exceeds the store's limit, which would block the records of all others.
+    [[nodiscard]] auto takeDirtyRecords() -> std::vector<KeyedRecord>;
+    auto failJob(TrackedJob &job, const std::string &reason) -> void;
     auto setPhase(TrackedJob &job, JobPhase phase) -> void;
     auto flush() -> void;
     /// Ends that may be acknowledged once all changed records are stored.
@@ -190,7 +198,9 @@
     std::unordered_map<JobId, std::unique_ptr<TrackedJob>> jobs_;
     /// Jobs without a final phase; ordered, so that decisions are reproducible.
     std::map<JobId, TrackedJob *> open_;
-    std::set<std::pair<JobId, std::uint32_t>> dirty_;
+    std::set<ProgressKey> dirty_;
+    /// Occurrences whose restored runs are not adopted yet.
+    std::set<std::pair<JobId, std::uint32_t>> restored_;
     /// Runs that workers reported unexpectedly and that have not ended yet.
     std::set<std::tuple<TaskRef, std::uint32_t, WorkerId>> unexpectedRuns_;
     /// Restored progress records of jobs that are not known yet, as key and value.
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -89,18 +89,6 @@
 /// Due time of an occurrence in Unix milliseconds; zero for a job that runs immediately.
 [[nodiscard]] auto dueTime(const JobPlan &plan, std::uint32_t occurrence) -> std::chrono::milliseconds;
 
-/// Key of the progress record of an occurrence.
-[[nodiscard]] auto progressKey(const JobId &job, std::uint32_t occurrence) -> std::string;
-
-/// Job and occurrence of a progress key; empty if the key is malformed.
-[[nodiscard]] auto parseProgressKey(const std::string &key) -> std::optional<std::pair<JobId, std::uint32_t>>;
-
-/// Encodes the stored part of an occurrence's state.
-[[nodiscard]] auto encodeProgress(const OccurrenceState &occurrence) -> std::string;
-
-/// Decodes a progress record into an occurrence without progress. Error: Malformed.
-[[nodiscard]] auto decodeProgress(const std::string &value, OccurrenceState &occurrence) -> Result<Success>;
-
 /// Encodes the stored record of a submission.
 [[nodiscard]] auto encodeSubmission(const Submission &submission) -> std::string;
 
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -93,7 +93,7 @@
     task.worker_ = WorkerId();
     --step.active_;
     --job->active_;
-    markDirty(*job, end.task_.occurrence_);
+    markDirty(*job, end.task_.occurrence_, end.task_.step_, end.task_.index_);
     const auto &plan = job->submission_.plan_.steps_[end.task_.step_];
     keepCheckpoint(step, plan, end);
     if (end.kind_ == RunOutcome::Done && !plan.service_) {
@@ -136,10 +136,10 @@
         return;
     }
     if (end.kind_ == RunOutcome::Failed) {
-        markDirty(job, end.task_.occurrence_);
+        markDirty(job, end.task_.occurrence_, end.task_.step_, end.task_.index_);
         applyFailure(job, end);
     } else if (end.kind_ == RunOutcome::Done) {
-        markDirty(job, end.task_.occurrence_);
+        markDirty(job, end.task_.occurrence_, end.task_.step_, end.task_.index_);
         applyDone(job, end);
         // Later runs of tasks that are now done are redundant.
         for (std::uint32_t index = 0; index < step.tasks_.size(); ++index) {
@@ -188,9 +188,7 @@
     }
     const auto *queue = hooks_.config_().queueNamed(job.submission_.queue_);
     if (queue != nullptr && task.failedRuns_.size() >= queue->maxAttempts_ && !job.isClosed()) {
-        job.failed_ = true;
-        stopRuns(job, "a task has reached its maximum number of attempts");
-        setPhase(job, JobPhase::Failed);
+        failJob(job, "a task has reached its maximum number of attempts");
     }
 }
 
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -298,8 +298,8 @@
         sessions_.place(session.entry_.id_, ref, task.lastRun_, makeWorkerRun(plan, ready.queue_->priority_, choice.remote_));
         selector.allocate(session, plan.task_);
         pendingStarts_.push_back({ref, task.lastRun_, session.entry_.id_});
+        markDirty(job, ready.rank_.occurrence_, ready.rank_.step_, tasks[i]);
     }
-    markDirty(job, ready.rank_.occurrence_);
     LogLine(LogSeverity::Info, "step_placed")
         .job(job.submission_.id_.value())
         .with("occurrence", ready.rank_.occurrence_)
--- a/marjoramfold/node/callerapi.cpp
+++ b/marjoramfold/node/callerapi.cpp
@@ -172,8 +172,16 @@
     }
     const auto acceptedAt = toUnixMilliseconds(std::chrono::system_clock::now());
     const Submission submission{validated.job_, validated.queue_, validated.team_, acceptedAt, valueOf(std::move(plan))};
+    auto record = JobFeed::submissionRecord(submission);
+    if (storedBytes(record) > MaxRecordBytes) {
+        // The store would reject the record each time, together with all others in the same append.
+        respond(Error{ErrorKind::InvalidRequest,
+                      "the job takes " + std::to_string(storedBytes(record)) + " bytes in the store, which allows " + std::to_string(MaxRecordBytes),
+                      std::nullopt});
+        return;
+    }
     pendingSubmissions_[validated.job_].push_back(std::move(respond));
-    store({JobFeed::submissionRecord(submission)}, call.timeout_, JobAccepted{}, [this, id = validated.job_](const CallerAnswer &answer) {
+    store({std::move(record)}, call.timeout_, JobAccepted{}, [this, id = validated.job_](const CallerAnswer &answer) {
         const auto node = pendingSubmissions_.extract(id);
         for (const auto &pendingRespond : node.mapped()) {
             pendingRespond(answer);
--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -224,7 +224,7 @@
         .with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - startedAt_).count());
     progress_.clear();
     if (auto claims = feed_.claimTombstones(epoch_); !claims.empty()) {
-        feedAppender_->write(std::move(claims), {});
+        feedAppender_->writeInOrder(std::move(claims), {});
     }
     scheduler_->startScheduling(othersRenewUntil());
 }
@@ -325,12 +325,13 @@
         return;
     }
     lastExpiryCheck_ = now;
-    for (const auto &[id, occurrences] : scheduler_->expiredJobs()) {
+    for (const auto &[id, keys] : scheduler_->expiredJobs()) {
         std::vector<KeyedRecord> progress;
-        for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence) {
-            progress.push_back({progressKey(id, occurrence), std::nullopt});
+        progress.reserve(keys.size());
+        for (const auto &key : keys) {
+            progress.push_back({toString(key), std::nullopt});
         }
-        progressAppender_->write(std::move(progress), {});
+        progressAppender_->writeInOrder(std::move(progress), {});
         feedAppender_->write(JobFeed::jobTombstones(id), {});
         scheduler_->removeJob(id);
     }
@@ -369,7 +370,7 @@
     hooks.storeProgress_ = [weak](std::vector<KeyedRecord> records, std::function<void(bool)> callback) {
         if (const auto self = weak.lock(); self) {
             const auto count = records.size();
-            self->progressAppender_->write(std::move(records), [callback = std::move(callback), count](const WriteResult &result) {
+            self->progressAppender_->writeInOrder(std::move(records), [callback = std::move(callback), count](const WriteResult &result) {
                 // Ends are acknowledged from here on: a later leader must have loaded the stream up to a higher offset.
                 if (const auto *stored = std::get_if<WriteStored>(&result); stored != nullptr) {
                     LogLine(LogSeverity::Info, "progress_stored").with("offset", stored->offset_).with("records", count);
@@ -388,7 +389,7 @@
         for (const auto &[id, phase] : phases) {
             records.push_back(JobFeed::phaseRecord(id, phase));
         }
-        self->feedAppender_->write(std::move(records), {});
+        self->feedAppender_->writeInOrder(std::move(records), {});
     };
     hooks.config_ = context_.config_;
     hooks.evacuatedZones_ = context_.evacuatedZones_;
--- a/marjoramfold/store/orderedappender.cpp
+++ b/marjoramfold/store/orderedappender.cpp
@@ -11,12 +11,19 @@
 {
 /// Upper bound for the length fields of one record in an append body.
 constexpr std::size_t RecordOverheadBytes = 8;
+/// Interval of the log line on an append that the store keeps rejecting.
+constexpr std::chrono::milliseconds RefusalLogInterval{2000};
+
+auto bytesOf(const KeyedRecord &record) -> std::size_t
+{
+    return RecordOverheadBytes + record.key_.size() + (record.value_ ? record.value_->size() : 0);
+}
 
 auto bytesOf(const std::vector<KeyedRecord> &records) -> std::size_t
 {
     std::size_t bytes = 0;
     for (const auto &record : records) {
-        bytes += RecordOverheadBytes + record.key_.size() + (record.value_ ? record.value_->size() : 0);
+        bytes += bytesOf(record);
     }
     return bytes;
 }
@@ -34,6 +41,22 @@
     writeUntil(std::move(records), BootTime::max(), std::move(callback));
 }
 
+auto OrderedAppender::writeInOrder(std::vector<KeyedRecord> records, Callback callback) -> void
+{
+    std::vector<KeyedRecord> next;
+    std::size_t bytes = 0;
+    for (auto &record : records) {
+        const auto recordBytes = bytesOf(record);
+        if (!next.empty() && bytes + recordBytes > options_.maxBatchBytes_) {
+            write(std::exchange(next, {}), {});
+            bytes = 0;
+        }
+        bytes += recordBytes;
+        next.push_back(std::move(record));
+    }
+    write(std::move(next), std::move(callback));
+}
+
 auto OrderedAppender::writeUntil(std::vector<KeyedRecord> records, BootTime sendBy, Callback callback) -> void
 {
     waiting_.push_back({std::move(records), std::move(callback), sendBy});
@@ -139,6 +162,7 @@
         if (options_.refusals_ == RefusalPolicy::Report && !maybeStored_) {
             finish(WriteRefused{refused->reason_});
         } else {
+            logRefusal(refused->reason_);
             retry(freshConnection_);
         }
     } else {
@@ -181,6 +205,28 @@
     sendNext();
 }
 
+auto OrderedAppender::logRefusal(const std::string &reason) -> void
+{
+    const auto now = BootClock::now();
+    if (now - refusalLoggedAt_ < RefusalLogInterval) {
+        return;
+    }
+    refusalLoggedAt_ = now;
+    std::size_t records = 0;
+    std::size_t bytes = 0;
+    for (const auto &pending : batch_) {
+        records += pending.records_.size();
+        bytes += bytesOf(pending.records_);
+    }
+    LogLine(LogSeverity::Warning, "append_refused")
+        .with("topic", options_.stream_.topic_)
+        .with("sequence", sequence_)
+        .with("reason", reason)
+        .with("records", records)
+        .with("bytes", bytes)
+        .with("age_ms", inFlightAge(now).count());
+}
+
 auto OrderedAppender::retry(bool freshConnection) -> void
 {
     freshConnection_ = freshConnection;
--- a/marjoramfold/store/orderedappender.h
+++ b/marjoramfold/store/orderedappender.h
@@ -47,8 +47,8 @@
     /// Timeout of one append; above the slowest answers of a working store.
     std::chrono::milliseconds answerTimeout_{900};
     std::chrono::milliseconds retryPause_{60};
-    /// Largest body of one append in bytes.
-    std::size_t maxBatchBytes_ = 1U << 20U;
+    /// Largest body of one append in bytes; half of the store's limit, so that one append does not occupy the partition for long.
+    std::size_t maxBatchBytes_ = MaxAppendBytes / 2;
 };
 
 /// Appends records of one producer in order, one append at a time. Records written meanwhile are batched into the next append.
@@ -66,6 +66,9 @@
     /// Appends records atomically. The callback may be empty.
     auto write(std::vector<KeyedRecord> records, Callback callback) -> void;
 
+    /// Appends records in their order, in as many appends as their size needs. The callback gets the result of the last one.
+    auto writeInOrder(std::vector<KeyedRecord> records, Callback callback) -> void;
+
     /// Like write(), but returns WriteRefused if the records were not sent by `sendBy`. Once sent, they are no longer withdrawn.
     auto writeUntil(std::vector<KeyedRecord> records, BootTime sendBy, Callback callback) -> void;
 
@@ -97,6 +100,8 @@
     auto onResult(const AppendResult &result) -> void;
     auto finish(const WriteResult &result) -> void;
     auto retry(bool freshConnection) -> void;
+    /// Logs that the store rejects the append in progress, at most once in an interval.
+    auto logRefusal(const std::string &reason) -> void;
 
     StreamStore store_;
     Schedule schedule_;
@@ -110,5 +115,6 @@
     bool freshConnection_ = false;
     bool stopped_ = false;
     BootTime batchSentAt_{};
+    BootTime refusalLoggedAt_{};
 };
 } // namespace Marjoramfold
--- a/marjoramfold/store/streamstore.h
+++ b/marjoramfold/store/streamstore.h
@@ -4,6 +4,7 @@
 #include "marjoramfold/core/result.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -25,6 +26,16 @@
     std::optional<std::string> value_;
 };
 
+/// Largest record that the platform's store accepts, and the largest total of one append, in bytes.
+constexpr std::size_t MaxRecordBytes = 262'144;
+constexpr std::size_t MaxAppendBytes = 2'097'152;
+
+/// Bytes that a record takes of the limits: the length of the key, the key and the value.
+[[nodiscard]] inline auto storedBytes(const KeyedRecord &record) -> std::size_t
+{
+    return 1 + record.key_.size() + (record.value_ ? record.value_->size() : 0);
+}
+
 /// A record read from the store.
 struct StoredRecord {
     std::uint64_t offset_ = 0;
--- a/tests/support/scriptedstore.h
+++ b/tests/support/scriptedstore.h
@@ -129,6 +129,22 @@
         std::map<std::uint64_t, std::uint64_t> offsets_;
     };
 
+    /// True when a record, or all records together, exceed the platform's limits.
+    [[nodiscard]] static auto exceedsLimits(const std::vector<KeyedRecord> &records) -> bool
+    {
+        constexpr std::size_t RecordBytes = 262'144;
+        constexpr std::size_t CallBytes = 2'097'152;
+        constexpr std::size_t LengthBytes = 4;
+        std::size_t total = 0;
+        auto tooLarge = false;
+        for (const auto &record : records) {
+            const auto bytes = 1 + record.key_.size() + record.value_.value_or("").size();
+            tooLarge = tooLarge || bytes > RecordBytes;
+            total += bytes + LengthBytes;
+        }
+        return tooLarge || total > CallBytes;
+    }
+
     auto onAppend(AppendRequest request, const std::function<void(AppendResult)> &callback) -> void
     {
         appends_.push_back(request);
@@ -137,6 +153,10 @@
             fault = faults_.front();
             faults_.pop_front();
         }
+        if (exceedsLimits(request.records_)) {
+            callback(AppendRefused{"store answered with status 400"});
+            return;
+        }
         if (fault == AppendFault::Refused) {
             callback(AppendRefused{"busy"});
             return;
--- a/tests/support/simulatedfleet.cpp
+++ b/tests/support/simulatedfleet.cpp
@@ -6,6 +6,8 @@
 {
 namespace
 {
+/// The platform rejects appends with a larger record.
+constexpr std::size_t StoreRecordLimit = 262'144;
 constexpr std::chrono::milliseconds TimeStep{5};
 constexpr std::chrono::milliseconds ResponseDelay{4};
 constexpr std::chrono::milliseconds StoreDelay{10};
@@ -134,6 +136,11 @@
     }
 }
 
+auto SimulatedFleet::storeProgress(const std::string &key, const std::string &value) -> void
+{
+    progress_[key] = value;
+}
+
 auto SimulatedFleet::show(const JobId &id) -> void
 {
     hiddenJobs_.erase(id);
@@ -255,12 +262,20 @@
 auto SimulatedFleet::record(std::vector<KeyedRecord> records, const std::function<void(bool)> &callback) -> void
 {
     schedule_.hook()(StoreDelay, [this, records = std::move(records), callback] {
-        if (storeDown_) {
+        const auto isTooLarge = [](const KeyedRecord &record) {
+            return 1 + record.key_.size() + record.value_.value_or("").size() > StoreRecordLimit;
+        };
+        // The leader repeats an append that the store rejects.
+        if (storeDown_ || std::any_of(records.begin(), records.end(), isTooLarge)) {
             record(records, callback);
             return;
         }
         for (const auto &record : records) {
+            if (storesRecord_ && !storesRecord_(record.key_)) {
+                return;
+            }
             progress_[record.key_] = record.value_.value_or("");
+            largestRecord_ = std::max(largestRecord_, progress_[record.key_].size());
         }
         callback(true);
     });
--- a/tests/support/simulatedfleet.h
+++ b/tests/support/simulatedfleet.h
@@ -63,6 +63,9 @@
     auto submit(const Submission &submission) -> void;
     auto cancel(const JobId &id) -> void;
 
+    /// Writes a progress record as a former leader.
+    auto storeProgress(const std::string &key, const std::string &value) -> void;
+
     /// Lets the feed show a hidden job to the leader.
     auto show(const JobId &id) -> void;
 
@@ -98,6 +101,10 @@
     bool allowIncompleteGangs_ = false;
     /// While true, no record is stored.
     bool storeDown_ = false;
+    /// Selects the records that are stored; after another one, the leader hears nothing more of the append. All when not set.
+    std::function<bool(const std::string &key)> storesRecord_;
+    /// Largest number of bytes in a stored record.
+    std::size_t largestRecord_ = 0;
     /// Jobs that the next leader does not know from the feed yet.
     std::set<JobId> hiddenJobs_;
     std::vector<std::string> violations_;
--- a/tests/unit/test_callerapi.cpp
+++ b/tests/unit/test_callerapi.cpp
@@ -129,6 +129,21 @@
     CHECK(fixture.store_.log(feedStream().topic_).empty());
 }
 
+TEST_CASE("a job that does not fit into a record of the store is rejected for good", "[frontdoor]")
+{
+    // Guards against a caller who is told to retry a submission that the store rejects each time, together with those in the same append.
+    CallerApiFixture fixture;
+    fixture.start();
+    std::string steps;
+    for (int i = 0; i < 900; ++i) {
+        steps += R"({"count":1,"requires":")" + std::string(250, 'a') + R"("},)";
+    }
+    steps.pop_back();
+    CHECK(*fixture.call(CallKind::Submit, JobPath, "key", R"({"spec":"x","steps":[)" + steps + "]}") == 400);
+    CHECK(fixture.store_.appends_.empty());
+    CHECK(*fixture.call(CallKind::Submit, JobPath) == 200);
+}
+
 TEST_CASE("a submission is answered according to the store's result", "[frontdoor]")
 {
     CallerApiFixture fixture;
--- a/tests/unit/test_store.cpp
+++ b/tests/unit/test_store.cpp
@@ -4,6 +4,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 using namespace Marjoramfold;
 using namespace Marjoramfold::Test;
 using namespace std::chrono_literals;
@@ -131,6 +135,28 @@
     }
 }
 
+TEST_CASE("records that exceed one append are stored in several", "[store]")
+{
+    // Guards against a leader that repeats an append which the store rejects for its size, behind which all others wait.
+    ScriptedStore store;
+    ManualSchedule schedule;
+    const auto appender = makeAppender(store, schedule, RefusalPolicy::Retry);
+    std::vector<KeyedRecord> records;
+    for (int i = 0; i < 12; ++i) {
+        records.push_back({"key" + std::to_string(10 + i), std::string(200'000, 'x')});
+    }
+    std::size_t results = 0;
+    appender->writeInOrder(records, [&results](const WriteResult &result) {
+        results += std::holds_alternative<WriteStored>(result) ? 1 : 0;
+    });
+    schedule.advance(1s);
+    CHECK(results == 1);
+    CHECK(store.appends_.size() == 3);
+    const auto keys = keysOf(store.log(Topic));
+    CHECK(keys.size() == 12);
+    CHECK(std::is_sorted(keys.begin(), keys.end()));
+}
+
 TEST_CASE("an appender fenced by a higher epoch stores nothing more", "[store]")
 {
     ScriptedStore store;
