Acknowledge the ends of a worker whose report has no room for all of them

Found by the test of the wide job. Callers would see: a job of many short tasks never ends, and its workers are quarantined.

Cause: a report lists at most 500 ends. A run that is accepted and that no report has listed withholds every acknowledgement, since the worker may have restarted. If more than 500 runs end between two reports, those beyond the list are in neither list, so nothing is acknowledged, and the worker lists the same 500 ends for ever. The same after a change of leader, for the runs that it adopts. Besides, a run whose end is not listed yet counted as stalled, and its worker as faulty.

Change: a run that a newer report lacks while the report has no room for all ends (endMayFollow_) no longer withholds acknowledgements, and counts as neither missing nor stalled.

--- a/marjoramfold/dispatch/workerincarnations.cpp
+++ b/marjoramfold/dispatch/workerincarnations.cpp
@@ -146,6 +146,7 @@
         } else if (run.stage_ != RunStage::Recorded) {
             run.acceptedAt_ = {};
             run.reported_ = false;
+            run.endMayFollow_ = false;
             if (run.stage_ != RunStage::Stopping) {
                 run.stage_ = RunStage::InDoubt;
             }
--- a/marjoramfold/dispatch/workerrenewals.cpp
+++ b/marjoramfold/dispatch/workerrenewals.cpp
@@ -58,7 +58,8 @@
     const auto wait = immediate ? std::chrono::milliseconds(0) : options_.renewalWait_;
     // The worker may have restarted if it accepted a run that it has not reported; end numbers mean other ends then.
     const auto hasUnreportedRun = std::any_of(session.runs_.begin(), session.runs_.end(), [](const auto &run) {
-        return !run.second.reported_ && run.second.stage_ != RunStage::Recorded && run.second.stage_ != RunStage::StartSent;
+        const auto &state = run.second;
+        return !state.reported_ && !state.endMayFollow_ && state.stage_ != RunStage::Recorded && state.stage_ != RunStage::StartSent;
     });
     const auto acknowledges = !pollOnly && !session.awaitsReport_ && !hasUnreportedRun && session.lastEndRecorded_ > session.lastEndAcknowledged_;
     const RenewCommand command{session.entry_.id_, session.address(), session.fencingToken_, acknowledges ? session.lastEndRecorded_ : 0, until, wait, failing};
@@ -171,18 +172,19 @@
         onReportedRun(session, run);
     }
     onReportedEnds(session, report);
-    if (report.moreEnds_) {
-        return;
-    }
     // A run in neither list no longer exists, provided that the report is newer than the run's last known state.
     std::vector<RunKey> missing;
-    for (const auto &entry : session.runs_) {
-        const auto &run = entry.second;
+    for (auto &[key, run] : session.runs_) {
         const auto newer = token > run.startToken_ || (run.acceptedAt_ != BootTime{} && run.acceptedAt_ <= sentAt);
         // A start command that is still under way will be answered itself.
         const auto started = run.stage_ != RunStage::Recorded && run.stage_ != RunStage::StartSent;
-        if (newer && started && !reported.contains(entry.first)) {
-            missing.push_back(entry.first);
+        const auto isMissing = newer && started && !reported.contains(key);
+        run.endMayFollow_ = isMissing && report.moreEnds_;
+        if (run.endMayFollow_) {
+            // The report tells nothing of the run's progress either.
+            run.progressClock_ = report.clock_;
+        } else if (isMissing) {
+            missing.push_back(key);
         }
     }
     for (const auto &key : missing) {
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -53,6 +53,8 @@
     BootTime acceptedAt_{};
     /// A report of the session's worker incarnation contained the run; the response to a start command does not name its incarnation.
     bool reported_ = false;
+    /// The newest report lacks the run and had no room for all ends, so that its end may follow once those in the report are acknowledged.
+    bool endMayFollow_ = false;
     BootTime progressAt_{};
     /// The worker's clock when it reported the last progress; distinguishes a stalled run from a late response.
     std::chrono::milliseconds progressClock_{0};
--- a/tests/unit/test_workerincarnations.cpp
+++ b/tests/unit/test_workerincarnations.cpp
@@ -293,7 +293,40 @@
     fleet.addWorkers(1, "zone-1", "r1-1");
     fleet.startLeader();
     fleet.submit(makeSubmission(FirstJob.value(), "batch", 600, {100, 100, 0}));
-    fleet.advance(4s);
+
+    SECTION("when reports listed the runs before")
+    {
+        fleet.advance(4s);
+    }
+
+    // Guards against a worker whose ends are never acknowledged, because its report, full of ends, cannot list the runs that have ended since.
+    SECTION("when no report has listed the runs")
+    {
+        fleet.work_ = [](const TaskRef &) {
+            return 500ms;
+        };
+        fleet.advance(2s);
+    }
+
+    SECTION("when a new leader adopts the runs after they have ended")
+    {
+        fleet.advance(500ms);
+        fleet.killLeader();
+        fleet.advance(2s);
+        fleet.startLeader();
+        fleet.advance(1s);
+    }
+
+    // Guards against a healthy worker that is quarantined because runs that have ended make no progress.
+    SECTION("when the ends wait for the store")
+    {
+        fleet.advance(1'900ms);
+        fleet.storeDown_ = true;
+        fleet.advance(3s);
+        fleet.storeDown_ = false;
+        fleet.advance(1s);
+        CHECK(fleet.scheduler_->counts().stalls_ == 0);
+    }
     CHECK(fleet.phaseOf(FirstJob) == JobPhase::Completed);
     CHECK(fleet.starts_[FirstJob].size() == 600);
     CHECK(fleet.violations_ == std::vector<std::string>{});
