Keep a task away from a worker that failed it only for some seconds

Cause: a task was excluded from each worker on which it had failed or stalled, for as long as the leader led. The exclusion was lifted only when it covered more than half of the workers of all pools. Ruled out: the quarantine, which had ended, and the attempts.

Change: the exclusion lasts 2 s and doubles with each failure, up to 5 s, so that the attempts outlast a fault of some seconds. The same cause elsewhere: the quarantine of up to 40 s is no reason for work to wait when the other workers could not hold it even if they were empty; such work gets a quarantined worker 5 s after its last failure, and does not wait for the idle reserve. Failures of several runs within one quarantine double it no longer (eight runs that failed together barred a worker for 40 s). step_waits names quarantined workers and the last resort.

Tried and given up: to lift the exclusion at once when no other worker is left.

Why it works: no exclusion is without a limit in time, and none compares with workers that the task may not use.

--- a/marjoramfold/dispatch/dispatchoptions.h
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -38,7 +38,12 @@
     std::chrono::milliseconds stallTimeout_{900};
     /// Lower bound of the stall timeout as a share of the expected run time, because progress is reported in whole percent.
     double stallRunTimeShare_ = 0.05;
-    /// First quarantine time of a failing worker; it doubles with each repetition.
+    /// A task is kept away from a worker for this long after it failed there; the time doubles with each failure, up to
+    /// `quarantineTime_`. Shorter than the 3 s for which a job may have nothing running while there is capacity for it, and long enough
+    /// that a fault of the only suitable worker, which lasts some seconds, does not use up the task's attempts.
+    std::chrono::milliseconds failedWorkerAvoidance_{2000};
+    /// First quarantine time of a failing worker; it doubles with each repetition. Work that no other worker can take waits no longer
+    /// than this.
     std::chrono::milliseconds quarantineTime_{5000};
     std::chrono::milliseconds maxQuarantineTime_{40000};
     /// Number of different jobs with failures since the last success that quarantine a worker.
--- a/marjoramfold/dispatch/failedrequests.cpp
+++ b/marjoramfold/dispatch/failedrequests.cpp
@@ -16,12 +16,13 @@
 auto FailedRequests::shapeOf(const PlacementRequest &request, bool local, Search search) -> std::optional<Shape>
 {
     const auto &step = *request.step_;
-    if (!request.excludedWorkers_.empty() || step.maxPerWorker_ > 0) {
+    if (!request.avoidedWorkers_.empty() || step.maxPerWorker_ > 0) {
         return std::nullopt;
     }
     Shape shape;
     shape.search_ = search;
     shape.local_ = local;
+    shape.lastResort_ = request.lastResort_;
     shape.gang_ = step.gang_;
     shape.oneRack_ = step.prefersOneRack_;
     shape.priority_ = request.priority_;
@@ -50,17 +51,17 @@
     return found != smallest_.end() && requiredTasks(request) >= found->second;
 }
 
-auto FailedRequests::addFit(const PlacementRequest &request) -> void
+auto FailedRequests::addFit(const PlacementRequest &request, bool local) -> void
 {
-    if (const auto shape = shapeOf(request, true, Search::Capacity); shape) {
+    if (const auto shape = shapeOf(request, local, Search::Capacity); shape) {
         auto &largest = largestFits_[*shape];
         largest = std::max(largest, requiredTasks(request));
     }
 }
 
-auto FailedRequests::containsFit(const PlacementRequest &request) const -> bool
+auto FailedRequests::containsFit(const PlacementRequest &request, bool local) const -> bool
 {
-    const auto shape = shapeOf(request, true, Search::Capacity);
+    const auto shape = shapeOf(request, local, Search::Capacity);
     const auto found = shape ? largestFits_.find(*shape) : largestFits_.end();
     return found != largestFits_.end() && requiredTasks(request) <= found->second;
 }
--- a/marjoramfold/dispatch/failedrequests.h
+++ b/marjoramfold/dispatch/failedrequests.h
@@ -32,16 +32,17 @@
     [[nodiscard]] auto contains(const PlacementRequest &request, bool local, Search search) const -> bool;
 
     /// Records that a request fits into the capacity of the workers, which does not change during a pass.
-    auto addFit(const PlacementRequest &request) -> void;
+    auto addFit(const PlacementRequest &request, bool local) -> void;
 
     /// True when an equal or larger request fits into the capacity of the workers.
-    [[nodiscard]] auto containsFit(const PlacementRequest &request) const -> bool;
+    [[nodiscard]] auto containsFit(const PlacementRequest &request, bool local) const -> bool;
 
 private:
     /// What decides whether a request fits, besides its number of tasks.
     struct Shape {
         Search search_ = Search::FreeCapacity;
         bool local_ = false;
+        bool lastResort_ = false;
         bool gang_ = false;
         bool oneRack_ = false;
         int priority_ = 0;
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -180,7 +180,9 @@
     auto collectReady(TrackedJob &job, const QueueConfig &queue, std::vector<ReadyStep> &ready) -> void;
     auto placeStep(WorkerSelector &selector, ReadyStep &ready, unsigned &reservations) -> void;
     auto placeTasks(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, unsigned &reservations) -> void;
-    [[nodiscard]] auto makeRequest(const ReadyStep &ready, const std::vector<std::uint32_t> &tasks) -> PlacementRequest;
+    /// Time for which a task is kept away from a worker after a number of failures there.
+    [[nodiscard]] auto avoidanceAfter(unsigned failures) const -> std::chrono::milliseconds;
+    [[nodiscard]] auto makeRequest(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks) -> PlacementRequest;
     [[nodiscard]] auto choosePlacement(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request, unsigned &reservations)
         -> std::optional<PlacementDecision>;
     /// Keeps capacity for a step whose preempted runs are still being stopped; false when there are none.
--- a/marjoramfold/dispatch/interventions.cpp
+++ b/marjoramfold/dispatch/interventions.cpp
@@ -81,7 +81,7 @@
             .with("worker", session->entry_.id_.value())
             .with("percent", session->runs_.at(key).percent_);
         if (auto *job = findJob(key.first.job_); job != nullptr) {
-            job->occurrences_[key.first.occurrence_].steps_[key.first.step_].tasks_[key.first.index_].failedOn_.insert(session->entry_.id_);
+            job->occurrences_[key.first.occurrence_].steps_[key.first.step_].tasks_[key.first.index_].addFailure(session->entry_.id_, BootClock::now());
         }
         recordWorkerFailure(*session, key.first.job_, FailureAttribution::Worker, "runs stalled");
         sessions_.stop(session->entry_.id_, key.first, key.second);
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -13,6 +14,12 @@
 
 namespace Marjoramfold
 {
+/// Failures and stalls of a task on one worker.
+struct WorkerFailures {
+    BootTime last_{};
+    unsigned count_ = 0;
+};
+
 /// State of a task within an occurrence.
 struct TaskState {
     bool done_ = false;
@@ -25,8 +32,8 @@
     std::uint64_t workerIncarnation_ = 0;
     /// The latest checkpoint; empty without one.
     std::string checkpoint_;
-    /// Workers on which the task failed. Not stored.
-    std::set<WorkerId> failedOn_;
+    /// Workers on which the task failed or stalled. Not stored.
+    std::map<WorkerId, WorkerFailures> failedOn_;
 
     /// True while a run may exist.
     [[nodiscard]] auto isActive() const -> bool
@@ -34,6 +41,14 @@
         return !worker_.isEmpty();
     }
 
+    /// Notes that the task failed or stalled on a worker.
+    auto addFailure(const WorkerId &worker, BootTime now) -> void
+    {
+        auto &failures = failedOn_[worker];
+        failures.last_ = now;
+        ++failures.count_;
+    }
+
     /// True when the task has state to store.
     [[nodiscard]] auto hasProgress() const -> bool
     {
--- a/marjoramfold/dispatch/placementrequest.h
+++ b/marjoramfold/dispatch/placementrequest.h
@@ -19,8 +19,10 @@
     std::string pool_;
     std::uint32_t count_ = 1;
     int priority_ = 0;
-    /// Workers that are excluded because one of the tasks failed there.
-    std::set<WorkerId> excludedWorkers_;
+    /// Workers that are excluded because one of the tasks failed there recently.
+    std::set<WorkerId> avoidedWorkers_;
+    /// Quarantined workers are allowed, because the others could not hold the request.
+    bool lastResort_ = false;
     /// Active runs of the step by worker; they count against the limit per worker.
     std::unordered_map<WorkerId, std::uint32_t> placed_;
 };
@@ -37,8 +39,10 @@
 
 /// Numbers of workers by state, to log why a request cannot be placed.
 struct CapacitySummary {
-    /// Match the request's pool and label and are not excluded.
+    /// Match the request's pool and label, and are neither avoided nor quarantined.
     std::size_t eligible_ = 0;
+    /// Match the request's pool and label, but are quarantined.
+    std::size_t quarantined_ = 0;
     /// Have free capacity for one task now.
     std::size_t withFreeCapacity_ = 0;
     /// Of those, reserved for other requests.
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -13,6 +13,7 @@
 constexpr double QuickFailureShare = 0.1;
 /// Workers to which quick failures of one job are attributed; on further workers the job itself may be the cause.
 constexpr unsigned MaxWorkersAttributedPerJob = 2;
+constexpr unsigned MaxQuarantineDoublings = 8;
 
 /// True when the job has the task; worker reports may contain tasks that other clients started.
 auto hasTask(const TrackedJob &job, const TaskRef &task) -> bool
@@ -178,7 +179,7 @@
     if (task.done_) {
         return;
     }
-    task.failedOn_.insert(end.worker_);
+    task.addFailure(end.worker_, BootClock::now());
     task.failedRuns_.insert(end.run_);
     if (plan.gang_) {
         // A gang run counts as one failure, however many members report it.
@@ -281,9 +282,12 @@
     if (attribution == FailureAttribution::Ambiguous && session.failedJobs_.size() < options_.failedJobsToQuarantine_) {
         return;
     }
-    const auto time = std::min(options_.maxQuarantineTime_, options_.quarantineTime_ * (1U << std::min(session.quarantineCount_, 8U)));
-    ++session.quarantineCount_;
-    session.quarantinedUntil_ = BootClock::now() + time;
+    // Runs that fail together tell of one fault: only a failure after the end of the last quarantine doubles its time.
+    const auto now = BootClock::now();
+    session.quarantineCount_ += session.quarantineCount_ == 0 || session.quarantinedUntil_ <= now ? 1 : 0;
+    const auto doublings = std::min(session.quarantineCount_ - 1, MaxQuarantineDoublings);
+    const auto time = std::min(options_.maxQuarantineTime_, options_.quarantineTime_ * (1U << doublings));
+    session.quarantine(now, time);
     LogLine(LogSeverity::Warning, "worker_suspect")
         .with("worker", session.entry_.id_.value())
         .with("reason", reason)
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -28,7 +28,7 @@
 auto FleetScheduler::runPass() -> void
 {
     ++counts_.passes_;
-    WorkerSelector selector(sessions_.all(), hooks_.evacuatedZones_(), BootClock::now());
+    WorkerSelector selector(sessions_.all(), hooks_.evacuatedZones_(), options_.quarantineTime_, BootClock::now());
     auto ready = readySteps();
     std::sort(ready.begin(), ready.end(), [](const ReadyStep &left, const ReadyStep &right) {
         return left.rank_ < right.rank_;
@@ -96,7 +96,7 @@
         placeTasks(selector, ready, ready.tasks_, reservations);
         return;
     }
-    // Tasks with failures are placed one by one, each away from the workers on which it failed.
+    // Tasks with failures are placed one by one, each away from the workers on which it failed recently.
     std::vector<std::uint32_t> withoutFailures;
     for (const auto index : ready.tasks_) {
         if (tasks[index].failedOn_.empty()) {
@@ -110,18 +110,27 @@
     }
 }
 
-auto FleetScheduler::makeRequest(const ReadyStep &ready, const std::vector<std::uint32_t> &tasks) -> PlacementRequest
+auto FleetScheduler::avoidanceAfter(unsigned failures) const -> std::chrono::milliseconds
+{
+    constexpr unsigned MaxDoublings = 8;
+    const auto doublings = std::min(failures - 1, MaxDoublings);
+    return std::min(options_.failedWorkerAvoidance_ * (1U << doublings), options_.quarantineTime_);
+}
+
+auto FleetScheduler::makeRequest(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks) -> PlacementRequest
 {
     const auto &plan = ready.job_->submission_.plan_.steps_[ready.rank_.step_];
     const auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
-    PlacementRequest request{&plan, ready.queue_->pool_, static_cast<std::uint32_t>(tasks.size()), ready.queue_->priority_, {}, {}};
+    PlacementRequest request{&plan, ready.queue_->pool_, static_cast<std::uint32_t>(tasks.size()), ready.queue_->priority_, {}, false, {}};
+    const auto now = BootClock::now();
     for (const auto index : tasks) {
-        request.excludedWorkers_.insert(state.tasks_[index].failedOn_.begin(), state.tasks_[index].failedOn_.end());
-    }
-    // With failures on more than half of the workers, the task is retried on any of them.
-    if (request.excludedWorkers_.size() * 2 > sessions_.all().size()) {
-        request.excludedWorkers_.clear();
+        for (const auto &[worker, failures] : state.tasks_[index].failedOn_) {
+            if (now < failures.last_ + avoidanceAfter(failures.count_)) {
+                request.avoidedWorkers_.insert(worker);
+            }
+        }
     }
+    request.lastResort_ = !selector.couldHoldUnquarantined(request);
     if (plan.maxPerWorker_ > 0) {
         for (const auto &task : state.tasks_) {
             if (task.isActive()) {
@@ -182,7 +191,7 @@
 
 auto FleetScheduler::placeTasks(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, unsigned &reservations) -> void
 {
-    const auto request = makeRequest(ready, tasks);
+    const auto request = makeRequest(selector, ready, tasks);
     const auto choice = choosePlacement(selector, ready, request, reservations);
     if (!choice) {
         logWaitingStep(selector, ready, request);
@@ -217,7 +226,9 @@
         .with("with_room", capacity.withFreeCapacity_)
         .with("reserved", capacity.reserved_)
         .with("idle", capacity.idle_)
-        .with("avoided", request.excludedWorkers_.size());
+        .with("quarantined", capacity.quarantined_)
+        .with("avoided", request.avoidedWorkers_.size())
+        .with("last_resort", request.lastResort_);
 }
 
 auto FleetScheduler::preempt(WorkerSelector &selector, const ReadyStep &ready, const PlacementDecision &choice) -> void
--- a/marjoramfold/dispatch/workerincarnations.cpp
+++ b/marjoramfold/dispatch/workerincarnations.cpp
@@ -100,7 +100,7 @@
 {
     // A worker with another id responds at the address. It rejects every command for this id, so none of its runs can exist.
     LogLine(LogSeverity::Warning, "worker_replaced").with("worker", session.entry_.id_.value()).with("runs", session.runs_.size());
-    session.quarantinedUntil_ = BootClock::now() + options_.quarantineTime_;
+    session.quarantine(BootClock::now(), options_.quarantineTime_);
     session.adopted_ = false;
     session.awaitsReport_ = false;
     session.announced_.reset();
--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -51,19 +51,24 @@
 }
 } // namespace
 
-WorkerSelector::WorkerSelector(const WorkerSessionMap &sessions, const std::unordered_set<std::string> &evacuatedZones, BootTime now)
+WorkerSelector::WorkerSelector(const WorkerSessionMap &sessions,
+                               const std::unordered_set<std::string> &evacuatedZones,
+                               std::chrono::milliseconds lastResortDelay,
+                               BootTime now)
     : now_(now)
 {
     candidates_.reserve(sessions.size());
     for (const auto &[id, session] : sessions) {
-        const auto usable = session->isCurrent() && !session->entry_.draining_ && session->unreachableSince_ == BootTime{} && session->quarantinedUntil_ <= now
+        const auto usable = session->isCurrent() && !session->entry_.draining_ && session->unreachableSince_ == BootTime{}
             && !evacuatedZones.contains(session->entry_.zone_.value());
         if (usable) {
-            candidates_.push_back({session.get(), session->freeCapacity(), false});
-            idleWorkers_ += isIdle(candidates_.back()) ? 1 : 0;
+            const auto quarantined = session->quarantinedUntil_ > now;
+            candidates_.push_back({session.get(), session->freeCapacity(), false, quarantined, quarantined && now - session->quarantinedAt_ < lastResortDelay});
+            quarantined_ += quarantined ? 1 : 0;
+            idleWorkers_ += !quarantined && isIdle(candidates_.back()) ? 1 : 0;
         }
     }
-    idleReserve_ = static_cast<std::size_t>(static_cast<double>(candidates_.size()) * IdleReserveShare);
+    idleReserve_ = static_cast<std::size_t>(static_cast<double>(candidates_.size() - quarantined_) * IdleReserveShare);
 }
 
 auto WorkerSelector::candidateOf(const WorkerSession &session) -> Candidate *
@@ -74,12 +79,41 @@
     return found != candidates_.end() && found->session_ == &session ? &*found : nullptr;
 }
 
-auto WorkerSelector::eligible(const Candidate &candidate, const PlacementRequest &request) const -> bool
+auto WorkerSelector::matches(const Candidate &candidate, const PlacementRequest &request) -> bool
 {
     const auto &entry = candidate.session_->entry_;
     const auto &label = request.step_->requiredLabel_;
-    return entry.pool_ == request.pool_ && !request.excludedWorkers_.contains(entry.id_)
-        && (label.empty() || std::find(entry.labels_.begin(), entry.labels_.end(), label) != entry.labels_.end());
+    return entry.pool_ == request.pool_ && (label.empty() || std::find(entry.labels_.begin(), entry.labels_.end(), label) != entry.labels_.end());
+}
+
+auto WorkerSelector::eligible(const Candidate &candidate, const PlacementRequest &request) -> bool
+{
+    const auto allowed = request.lastResort_ ? !candidate.barred_ : !candidate.quarantined_;
+    return allowed && !request.avoidedWorkers_.contains(candidate.session_->entry_.id_) && matches(candidate, request);
+}
+
+auto WorkerSelector::couldHoldUnquarantined(const PlacementRequest &request) -> bool
+{
+    if (quarantined_ == 0 || failed_.containsFit(request, false)) {
+        return true;
+    }
+    if (failed_.contains(request, false, FailedRequests::Search::Capacity)) {
+        return false;
+    }
+    const auto required = request.step_->gang_ ? request.count_ : 1;
+    std::uint32_t fits = 0;
+    for (const auto &candidate : candidates_) {
+        if (!candidate.quarantined_ && eligible(candidate, request)) {
+            const auto &entry = candidate.session_->entry_;
+            fits += countFitting(entry.capacity_, request.step_->task_, taskLimitAt(request, entry.id_, required));
+        }
+        if (fits >= required) {
+            failed_.addFit(request, false);
+            return true;
+        }
+    }
+    failed_.add(request, false, FailedRequests::Search::Capacity);
+    return false;
 }
 
 auto WorkerSelector::groupsFor(const PlacementRequest &request, bool local, const CapacityFilter &accepts) -> std::vector<Group>
@@ -109,6 +143,9 @@
 {
     if (rackFree_.empty()) {
         for (const auto &candidate : candidates_) {
+            if (candidate.quarantined_) {
+                continue;
+            }
             rackFree_[candidate.session_->entry_.rack_.value()] += candidate.free_.accelerators_;
         }
     }
@@ -125,7 +162,8 @@
         if (candidate->reserved_ && request.priority_ > 0) {
             continue;
         }
-        if (request.priority_ > 0 && isIdle(*candidate)) {
+        // A last resort cannot wait for another worker to become idle.
+        if (request.priority_ > 0 && isIdle(*candidate) && !request.lastResort_) {
             if (spareWorkers == 0) {
                 continue;
             }
@@ -139,6 +177,9 @@
     }
     const auto preferHealthy = needsHealthyWorkers(request);
     std::stable_sort(ranked.begin(), ranked.end(), [this, preferHealthy](const auto &left, const auto &right) {
+        if (left.second->quarantined_ != right.second->quarantined_) {
+            return right.second->quarantined_;
+        }
         const auto leftHealthy = wasRecentlyHealthy(*left.second->session_);
         if (preferHealthy && leftHealthy != wasRecentlyHealthy(*right.second->session_)) {
             return leftHealthy;
@@ -317,7 +358,7 @@
 
 auto WorkerSelector::couldFitLocally(const PlacementRequest &request) -> bool
 {
-    if (failed_.containsFit(request)) {
+    if (failed_.containsFit(request, true)) {
         return true;
     }
     if (failed_.contains(request, true, FailedRequests::Search::Capacity)) {
@@ -325,7 +366,7 @@
     }
     const auto fits = fitsCapacity(request);
     if (fits) {
-        failed_.addFit(request);
+        failed_.addFit(request, true);
     } else {
         failed_.add(request, true, FailedRequests::Search::Capacity);
     }
@@ -355,6 +396,9 @@
     std::int64_t capacity = 0;
     std::int64_t free = 0;
     for (const auto &candidate : candidates_) {
+        if (candidate.quarantined_) {
+            continue;
+        }
         capacity += candidate.session_->entry_.capacity_.accelerators_;
         free += candidate.free_.accelerators_;
     }
@@ -365,6 +409,7 @@
 {
     CapacitySummary summary;
     for (const auto &candidate : candidates_) {
+        summary.quarantined_ += candidate.quarantined_ && matches(candidate, request) ? 1 : 0;
         if (!eligible(candidate, request)) {
             continue;
         }
@@ -396,9 +441,9 @@
 auto WorkerSelector::allocate(WorkerSession &session, const ResourceVector &demand) -> void
 {
     if (auto *candidate = candidateOf(session); candidate != nullptr) {
-        idleWorkers_ -= isIdle(*candidate) ? 1 : 0;
+        idleWorkers_ -= !candidate->quarantined_ && isIdle(*candidate) ? 1 : 0;
         candidate->free_ -= demand;
-        if (!rackFree_.empty()) {
+        if (!rackFree_.empty() && !candidate->quarantined_) {
             rackFree_[session.entry_.rack_.value()] -= demand.accelerators_;
         }
     }
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -4,6 +4,7 @@
 #include "marjoramfold/dispatch/placementrequest.h"
 #include "marjoramfold/dispatch/workersession.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -21,8 +22,12 @@
 class WorkerSelector
 {
 public:
-    /// Takes a snapshot of the workers that may get new work now.
-    WorkerSelector(const WorkerSessionMap &sessions, const std::unordered_set<std::string> &evacuatedZones, BootTime now);
+    /// Takes a snapshot of the workers that may get new work now. `lastResortDelay` is the time after its last failure from which a
+    /// quarantined worker gets work that no other worker can take.
+    WorkerSelector(const WorkerSessionMap &sessions,
+                   const std::unordered_set<std::string> &evacuatedZones,
+                   std::chrono::milliseconds lastResortDelay,
+                   BootTime now);
 
     /// Placement in free capacity: a gang as a whole, of other tasks as many as fit. `local` allows only workers without a slowdown.
     [[nodiscard]] auto findPlacement(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>;
@@ -42,6 +47,9 @@
     /// True when the usable workers could hold the request without a slowdown if they were empty.
     [[nodiscard]] auto couldFitLocally(const PlacementRequest &request) -> bool;
 
+    /// True when the eligible workers that are not quarantined could hold the request if they were empty.
+    [[nodiscard]] auto couldHoldUnquarantined(const PlacementRequest &request) -> bool;
+
     /// Subtracts placed resources from a worker's free capacity in the snapshot.
     auto allocate(WorkerSession &session, const ResourceVector &demand) -> void;
 
@@ -53,6 +61,9 @@
         WorkerSession *session_ = nullptr;
         ResourceVector free_;
         bool reserved_ = false;
+        bool quarantined_ = false;
+        /// Quarantined, and its last failure is too recent for a last resort.
+        bool barred_ = false;
     };
 
     using Group = std::vector<Candidate *>;
@@ -60,7 +71,9 @@
     /// Cost of removing a run; empty when the run must stay.
     using RemovalCost = std::function<std::optional<double>(const WorkerRun &)>;
 
-    [[nodiscard]] auto eligible(const Candidate &candidate, const PlacementRequest &request) const -> bool;
+    /// True when the worker has the request's pool and label.
+    [[nodiscard]] static auto matches(const Candidate &candidate, const PlacementRequest &request) -> bool;
+    [[nodiscard]] static auto eligible(const Candidate &candidate, const PlacementRequest &request) -> bool;
     /// Selects candidates by their capacity.
     using CapacityFilter = std::function<bool(const Candidate &)>;
 
@@ -90,6 +103,8 @@
     FailedRequests failed_;
     /// Free accelerators by rack; empty until the first request that needs one rack.
     std::map<std::string_view, std::int64_t> rackFree_;
+    /// Quarantined candidates.
+    std::size_t quarantined_ = 0;
     std::size_t idleWorkers_ = 0;
     /// Number of idle workers that only urgent work may use.
     std::size_t idleReserve_ = 0;
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -108,8 +108,11 @@
     BootTime lastHealthyAt_{};
     /// Jobs with failed or stalled runs on the worker since its last success.
     std::set<JobId> failedJobs_;
+    /// Number of quarantines since its last success.
     unsigned quarantineCount_ = 0;
-    /// The worker gets no new work until then.
+    /// When the quarantine last began or was prolonged.
+    BootTime quarantinedAt_{};
+    /// Until then the worker gets only work that no other worker can take.
     BootTime quarantinedUntil_{};
 
     /// Address for commands: an announced incarnation is asked at its own address.
@@ -118,6 +121,13 @@
         return announced_ ? announced_->address_ : entry_.address_;
     }
 
+    /// Begins or prolongs a quarantine.
+    auto quarantine(BootTime now, std::chrono::milliseconds time) -> void
+    {
+        quarantinedAt_ = now;
+        quarantinedUntil_ = now + time;
+    }
+
     /// True when the list entry describes the current incarnation, whose state this leader knows.
     [[nodiscard]] auto isCurrent() const -> bool
     {
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -238,7 +238,7 @@
         endRun(*session, key, RunOutcome::Lost, {}, true, response.reason_);
         break;
     case CommandOutcome::WorkerReplaced:
-        session->quarantinedUntil_ = BootClock::now() + options_.quarantineTime_;
+        session->quarantine(BootClock::now(), options_.quarantineTime_);
         endRun(*session, key, RunOutcome::Lost, {}, true, "another worker responds at the address");
         break;
     case CommandOutcome::Unknown:
--- a/tests/unit/test_failedrequests.cpp
+++ b/tests/unit/test_failedrequests.cpp
@@ -21,7 +21,7 @@
 
 auto makeRequest(const StepPlan &step) -> PlacementRequest
 {
-    return {&step, "pool", step.count_, 2, {}, {}};
+    return {&step, "pool", step.count_, 2, {}, false, {}};
 }
 } // namespace
 
@@ -69,10 +69,10 @@
         const auto four = makeStep(4, 8, true);
         const auto three = makeStep(3, 8, true);
         const auto five = makeStep(5, 8, true);
-        failed.addFit(makeRequest(four));
-        CHECK(failed.containsFit(makeRequest(three)));
-        CHECK(failed.containsFit(makeRequest(four)));
-        CHECK_FALSE(failed.containsFit(makeRequest(five)));
+        failed.addFit(makeRequest(four), true);
+        CHECK(failed.containsFit(makeRequest(three), true));
+        CHECK(failed.containsFit(makeRequest(four), true));
+        CHECK_FALSE(failed.containsFit(makeRequest(five), true));
         CHECK_FALSE(failed.contains(makeRequest(five), true, Search::Capacity));
         failed.add(makeRequest(five), true, Search::Capacity);
         CHECK(failed.contains(makeRequest(five), true, Search::Capacity));
@@ -83,7 +83,7 @@
     {
         const auto step = makeStep(4, 2, false);
         auto retry = makeRequest(step);
-        retry.excludedWorkers_.insert(WorkerId("w"));
+        retry.avoidedWorkers_.insert(WorkerId("w"));
         failed.add(retry, true, Search::FreeCapacity);
         CHECK_FALSE(failed.contains(retry, true, Search::FreeCapacity));
         CHECK_FALSE(failed.contains(makeRequest(step), true, Search::FreeCapacity));
@@ -117,7 +117,7 @@
     auto step = makeStep(2, 8, true);
     step.prefersOneRack_ = true;
     step.task_ = {11'000, 46'000, 4};
-    WorkerSelector selector(sessions, {}, BootTime(100s));
+    WorkerSelector selector(sessions, {}, 5s, BootTime(100s));
     const auto choice = selector.findPlacement(makeRequest(step), true);
     REQUIRE(choice);
     CHECK(choice->workers_.front()->entry_.rack_ == RackId("rack-b"));
