Store the cancellation of a job that is not known yet

Cause: an append without an answer is repeated, since it may have been executed. A cancellation of a job that the feed does not show was answered without a record, so nothing stopped the job when its submission appeared. Ruled out: a stale feed (the instance had read it after the request came) and a change of leader.

Change: the cancellation is stored before it is answered with 410; a submission behind it in the feed is a cancelled job. Instances that load the feed kept no cancellation without a submission; they do now. The leader drops those that met none within 240 s, and logs both cases.

Why it works: the feed orders both records for all instances, whoever writes the submission and whenever the store executes it.

Tests: test_callerapi "calls are checked before anything is stored" expected that a cancellation of an unknown job leaves the store empty, which is the fault itself.

--- a/marjoramfold/node/callerapi.cpp
+++ b/marjoramfold/node/callerapi.cpp
@@ -304,7 +304,10 @@
 {
     withCurrentJob(validated.job_, call.timeout_, respond, [this, id = validated.job_, timeout = call.timeout_, respond](const FeedJob *job) {
         if (job == nullptr) {
-            respond(Error{ErrorKind::JobUnknown, "the job is unknown", std::nullopt});
+            // An append of its submission may still be executed, by another instance or by the store alone.
+            const Error unknown{
+                ErrorKind::JobUnknown, "the job is unknown; its cancellation is stored, and a submission that follows will not run", std::nullopt};
+            store({JobFeed::cancelRecord(id)}, timeout, unknown, respond);
         } else if (job->cancelled_ || isFinalPhase(job->phase_)) {
             respond(JobCancelled{});
         } else {
--- a/marjoramfold/node/jobfeed.cpp
+++ b/marjoramfold/node/jobfeed.cpp
@@ -75,6 +75,7 @@
 auto JobFeed::beginReload() -> void
 {
     reloading_ = true;
+    orphans_.clear();
     reloadedJobs_.clear();
     loadedLeadership_.clear();
     claims_.clear();
@@ -99,7 +100,9 @@
         applySubmission(id, std::nullopt);
     }
     reloadedJobs_.clear();
-    orphans_.clear();
+    std::erase_if(orphans_, [](const auto &orphan) {
+        return !orphan.second.cancelled_;
+    });
 }
 
 auto JobFeed::apply(std::vector<StoredRecord> records) -> void
@@ -202,6 +205,7 @@
 {
     const auto found = jobs_.find(id);
     if (!set) {
+        orphans_.erase(id);
         return;
     }
     auto &job = found == jobs_.end() ? orphans_[id] : found->second;
@@ -211,6 +215,7 @@
     const auto wasQueued = found != jobs_.end() && job.reportedPhase() == JobPhase::Queued;
     job.cancelled_ = true;
     job.cancelOffset_ = offset;
+    job.cancelledAt_ = BootClock::now();
     if (wasQueued) {
         --waiting_[job.submission_.queue_];
     }
@@ -330,6 +335,17 @@
     return predecessor_;
 }
 
+auto JobFeed::unmatchedCancellations(BootTime appliedBefore) const -> std::vector<JobId>
+{
+    std::vector<JobId> unmatched;
+    for (const auto &[id, orphan] : orphans_) {
+        if (orphan.cancelled_ && orphan.cancelledAt_ < appliedBefore) {
+            unmatched.push_back(id);
+        }
+    }
+    return unmatched;
+}
+
 auto JobFeed::waitingJobs(const std::string &queue) const -> std::size_t
 {
     const auto found = waiting_.find(queue);
@@ -346,6 +362,11 @@
     return {prefixedKey(CancelPrefix, id.value()), "1"};
 }
 
+auto JobFeed::cancelTombstone(const JobId &id) -> KeyedRecord
+{
+    return {prefixedKey(CancelPrefix, id.value()), std::nullopt};
+}
+
 auto JobFeed::phaseRecord(const JobId &id, JobPhase phase) -> KeyedRecord
 {
     return {prefixedKey(PhasePrefix, id.value()), std::string(1, static_cast<char>(phase))};
@@ -361,8 +382,6 @@
 
 auto JobFeed::jobTombstones(const JobId &id) -> std::vector<KeyedRecord>
 {
-    return {{prefixedKey(JobPrefix, id.value()), std::nullopt},
-            {prefixedKey(CancelPrefix, id.value()), std::nullopt},
-            {prefixedKey(PhasePrefix, id.value()), std::nullopt}};
+    return {{prefixedKey(JobPrefix, id.value()), std::nullopt}, cancelTombstone(id), {prefixedKey(PhasePrefix, id.value()), std::nullopt}};
 }
 } // namespace Marjoramfold
--- a/marjoramfold/node/jobfeed.h
+++ b/marjoramfold/node/jobfeed.h
@@ -28,6 +28,8 @@
     std::uint64_t phaseOffset_ = 0;
     bool cancelled_ = false;
     std::uint64_t cancelOffset_ = 0;
+    /// Time at which the cancellation was applied here.
+    BootTime cancelledAt_{};
 
     /// The phase reported to callers. A job that was cancelled before it was recorded as ended stays cancelled.
     [[nodiscard]] auto reportedPhase() const -> JobPhase;
@@ -108,12 +110,16 @@
     /// The leader before the current one, in its last known state.
     [[nodiscard]] auto predecessor() const -> const LeaderView &;
 
+    /// Cancellations applied before the given time whose submission has not appeared.
+    [[nodiscard]] auto unmatchedCancellations(BootTime appliedBefore) const -> std::vector<JobId>;
+
     /// Number of accepted jobs of a queue for which no task has started.
     [[nodiscard]] auto waitingJobs(const std::string &queue) const -> std::size_t;
 
     // Records to append.
     [[nodiscard]] static auto submissionRecord(const Submission &submission) -> KeyedRecord;
     [[nodiscard]] static auto cancelRecord(const JobId &id) -> KeyedRecord;
+    [[nodiscard]] static auto cancelTombstone(const JobId &id) -> KeyedRecord;
     [[nodiscard]] static auto phaseRecord(const JobId &id, JobPhase phase) -> KeyedRecord;
     [[nodiscard]] static auto leadershipRecord(const LeadershipRecord &record) -> KeyedRecord;
 
@@ -136,7 +142,8 @@
 
     FeedListeners listeners_;
     std::unordered_map<JobId, FeedJob> jobs_;
-    /// Cancellations and phases that a paged load delivered before their submission.
+    /// Cancellations and phases without a submission so far. A paged load may deliver it later; a caller may also cancel a job whose
+    /// submission the store has not answered and may still execute.
     std::unordered_map<JobId, FeedJob> orphans_;
     std::map<std::string, std::size_t> waiting_;
     std::unordered_map<JobId, bool> reloadedJobs_;
--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -3,7 +3,9 @@
 #include "marjoramfold/observability/logline.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 namespace Marjoramfold
 {
@@ -245,6 +247,9 @@
     if (begun_) {
         // The phase or cancellation of a job may precede its submission in a load of the feed.
         const auto *job = feed_.find(submission.id_);
+        if (job != nullptr && job->cancelled_) {
+            LogLine(LogSeverity::Info, "cancelled_before_submission").job(submission.id_.value()).with("cancel_offset", job->cancelOffset_);
+        }
         scheduler_->addJob(submission, job == nullptr ? JobPhase::Queued : job->reportedPhase());
     }
 }
@@ -335,6 +340,14 @@
         feedAppender_->write(JobFeed::jobTombstones(id), {});
         scheduler_->removeJob(id);
     }
+    const auto unmatched = feed_.unmatchedCancellations(now - context_.dispatch_.finalStateRetention_);
+    if (!unmatched.empty()) {
+        LogLine(LogSeverity::Info, "unmatched_cancellations_dropped").with("count", unmatched.size()).with("first", unmatched.front().value());
+        std::vector<KeyedRecord> records;
+        records.reserve(unmatched.size());
+        std::transform(unmatched.begin(), unmatched.end(), std::back_inserter(records), &JobFeed::cancelTombstone);
+        feedAppender_->writeInOrder(std::move(records), {});
+    }
 }
 
 auto LeaderRuntime::guardedCalls() -> WorkerCalls
--- a/tests/unit/test_callerapi.cpp
+++ b/tests/unit/test_callerapi.cpp
@@ -125,10 +125,45 @@
     CHECK(*fixture.call(CallKind::Submit, JobPath, "key", "{") == 400);
     CHECK(*fixture.call(CallKind::Submit, "/q/short") == 400);
     CHECK(*fixture.call(CallKind::Query, JobPath) == 410);
-    CHECK(*fixture.call(CallKind::Cancel, JobPath) == 410);
+    CHECK(*fixture.call(CallKind::Cancel, JobPath, "wrong") == 401);
+    CHECK(*fixture.call(CallKind::Cancel, "/q/short") == 400);
     CHECK(fixture.store_.log(feedStream().topic_).empty());
 }
 
+TEST_CASE("a cancellation of a job that is not known yet stays in force", "[frontdoor]")
+{
+    // Guards against a job that runs although its caller cancelled it: its submission had no answer, and the store executes it later.
+    CallerApiFixture fixture;
+    fixture.start();
+    Submission late;
+    late.id_ = JobId(Id);
+    late.queue_ = "q";
+    late.plan_.steps_.resize(1);
+
+    SECTION("the caller learns that there is no such job, and a submission that appears later is cancelled")
+    {
+        CHECK(*fixture.call(CallKind::Cancel, JobPath) == 410);
+        REQUIRE(fixture.store_.log(feedStream().topic_).size() == 1);
+        CHECK(fixture.store_.log(feedStream().topic_).front().record_.key_ == JobFeed::cancelRecord(JobId(Id)).key_);
+        CHECK(*fixture.call(CallKind::Query, JobPath) == 410);
+        fixture.store_.put(feedStream().topic_, JobFeed::submissionRecord(late));
+        CHECK(*fixture.call(CallKind::Query, JobPath) == 200);
+        CHECK(std::get<JobStateAnswer>(*fixture.last_).phase_ == JobPhase::Cancelled);
+        CHECK(*fixture.call(CallKind::Cancel, JobPath) == 200);
+    }
+
+    SECTION("the caller is not told that the job is gone before the cancellation is stored")
+    {
+        fixture.store_.failAppends({AppendFault::Refused});
+        CHECK(*fixture.call(CallKind::Cancel, JobPath) == 503);
+        fixture.store_.failAppends({AppendFault::AnswerLost});
+        const auto status = fixture.call(CallKind::Cancel, JobPath);
+        CHECK(*status == 0);
+        fixture.schedule_.advance(200ms);
+        CHECK(*status == 410);
+    }
+}
+
 TEST_CASE("a job that does not fit into a record of the store is rejected for good", "[frontdoor]")
 {
     // Guards against a caller who is told to retry a submission that the store rejects each time, together with those in the same append.
--- a/tests/unit/test_jobfeed.cpp
+++ b/tests/unit/test_jobfeed.cpp
@@ -197,6 +197,39 @@
         }
     }
 
+    SECTION("a job cancelled before its submission is recorded is cancelled, whether the feed was followed or loaded before or after it")
+    {
+        // Guards against a cancellation that instances forget which load the feed before the submission is stored.
+        const JobId late("00112233445566bb");
+        log.append(JobFeed::cancelRecord(late));
+        auto loadedBefore = loaded(log);
+        CHECK(loadedBefore.find(late) == nullptr);
+        const auto offset = log.append(JobFeed::submissionRecord(submission(late.value())));
+        loadedBefore.apply({log.all()[offset]});
+        for (const auto &feed : {followed(log), loaded(log), loadedBefore}) {
+            REQUIRE(feed.find(late) != nullptr);
+            CHECK(feed.find(late)->reportedPhase() == JobPhase::Cancelled);
+            CHECK(feed.waitingJobs("proofs") == 1);
+            CHECK(feed.unmatchedCancellations(BootTime::max()).empty());
+        }
+    }
+
+    SECTION("a cancellation without a submission is listed until it is deleted")
+    {
+        const JobId late("00112233445566bb");
+        log.append(JobFeed::cancelRecord(late));
+        for (const auto &feed : {followed(log), loaded(log)}) {
+            CHECK(feed.unmatchedCancellations(BootTime::max()) == std::vector<JobId>{late});
+            CHECK(feed.unmatchedCancellations(BootTime{}).empty());
+        }
+        auto feed = loaded(log);
+        log.append(JobFeed::cancelTombstone(late));
+        feed.apply({log.all().back()});
+        CHECK(feed.unmatchedCancellations(BootTime::max()).empty());
+        log.append(JobFeed::submissionRecord(submission(late.value())));
+        CHECK(followed(log).find(late)->reportedPhase() == JobPhase::Queued);
+    }
+
     SECTION("an unknown phase leaves the job as it is")
     {
         for (const auto *value : {"\x05", "\xff", "22", ""}) {
--- a/tests/unit/test_leaderruntime.cpp
+++ b/tests/unit/test_leaderruntime.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
+#include <string>
 #include <utility>
 
 using namespace Marjoramfold;
@@ -217,3 +219,49 @@
     }
     CHECK(site.mostRuns_ == 1);
 }
+
+TEST_CASE("a job whose cancellation is older than its submission does not run", "[leader]")
+{
+    // Guards against a job that runs after its caller cancelled it, because the store executes its submission later.
+    Site site;
+    Leader leader(site, "leader", 1);
+    site.list("one");
+    site.store_.put(feedStream().topic_, JobFeed::cancelRecord(FirstJob));
+
+    SECTION("when the leader followed the feed before")
+    {
+        leader.follow();
+        leader.lead();
+        site.advance(500ms);
+        site.store_.put(feedStream().topic_, JobFeed::submissionRecord(longJob()));
+        site.advance(5s);
+        CHECK(site.mostRuns_ == 0);
+    }
+
+    SECTION("when the leader loads the feed after")
+    {
+        site.store_.put(feedStream().topic_, JobFeed::submissionRecord(longJob()));
+        leader.follow();
+        leader.lead();
+        site.advance(5s);
+        CHECK(site.mostRuns_ == 0);
+    }
+
+    SECTION("until the time is over for which the state of a job is kept")
+    {
+        leader.follow();
+        leader.lead();
+        const auto newestOf = [&site](const std::string &key) {
+            std::optional<std::string> value;
+            for (const auto &stored : site.store_.log(feedStream().topic_)) {
+                value = stored.record_.key_ == key ? stored.record_.value_ : value;
+            }
+            return value;
+        };
+        const auto key = JobFeed::cancelRecord(FirstJob).key_;
+        site.advance(200s);
+        CHECK(newestOf(key).has_value());
+        site.advance(70s);
+        CHECK_FALSE(newestOf(key).has_value());
+    }
+}
