Reclaim a team's guaranteed accelerators from urgent work beyond another guarantee

Cause: the guarantee was read from the configuration and used nowhere. Preemption considers lower priorities only, and urgent work was ordered by acceptance alone. Ruled out: the job's place in the order, its record and its labels.

Change: urgent tasks that their team's guarantee covers come before those that it does not cover. If free room and the preemption of lower priorities are not enough, they stop urgent runs of teams that use more than their guarantee (ReclaimBudget), the least loss first; a gang counts as a whole. run_preempted names priority and teams, step_waits says whether the guarantee covers a step, and a metric counts.

Why it works: what is stopped is beyond its team's guarantee, and no team is brought below it. So the stopped work is not covered when it waits again, comes after the work that it was stopped for, and cannot reclaim back.

--- a/marjoramfold/dispatch/failedrequests.h
+++ b/marjoramfold/dispatch/failedrequests.h
@@ -21,6 +21,7 @@
     enum class Search : std::uint8_t {
         FreeCapacity,
         Preemption,
+        Reclaim,
         /// Whether the workers could hold the request if they were empty.
         Capacity,
     };
--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -163,7 +163,7 @@
                 }
                 ++steps[step].active_;
                 ++job->active_;
-                const auto run = makeWorkerRun(plan.steps_[step], queue == nullptr ? 0 : queue->priority_, false);
+                const auto run = makeWorkerRun(*job, step, queue == nullptr ? 0 : queue->priority_, false);
                 sessions_.adoptRun(task.worker_, task.workerIncarnation_, {id, occurrence, step, index}, task.lastRun_, run);
             }
         }
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -48,6 +48,8 @@
     std::uint64_t failedRuns_ = 0;
     std::uint64_t lostRuns_ = 0;
     std::uint64_t preemptions_ = 0;
+    /// Urgent runs that were stopped for the guarantee of another team; not counted as preemptions.
+    std::uint64_t reclaims_ = 0;
     std::uint64_t stalls_ = 0;
     std::uint64_t moves_ = 0;
     /// Reports of runs that this leader did not know.
@@ -176,8 +178,13 @@
     auto runPass() -> void;
     /// Runs a pass and schedules the next one by the time that this one took.
     auto runTimedPass() -> void;
-    [[nodiscard]] auto readySteps() -> std::vector<ReadyStep>;
-    auto collectReady(TrackedJob &job, const QueueConfig &queue, std::vector<ReadyStep> &ready) -> void;
+    /// Accelerators in use by team.
+    using TeamUse = std::map<TeamId, std::int64_t>;
+    /// Collects the ready steps, and adds what the teams' urgent runs use.
+    [[nodiscard]] auto readySteps(TeamUse &urgentUse) -> std::vector<ReadyStep>;
+    auto collectReady(TrackedJob &job, const QueueConfig &queue, std::vector<ReadyStep> &ready, TeamUse &urgentUse) -> void;
+    /// Sorts the ready steps. Urgent tasks within their team's guarantee come before those beyond it; a step may be divided for that.
+    auto orderSteps(std::vector<ReadyStep> &ready, TeamUse urgentUse) const -> void;
     auto placeStep(WorkerSelector &selector, ReadyStep &ready, unsigned &reservations) -> void;
     auto placeTasks(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, unsigned &reservations) -> void;
     /// Time for which a task is kept away from a worker after a number of failures there.
@@ -191,7 +198,7 @@
     auto preempt(WorkerSelector &selector, const ReadyStep &ready, const PlacementDecision &choice) -> void;
     auto startTasks(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, const PlacementDecision &choice) -> void;
     /// The state of a new run that occupies capacity of a worker.
-    [[nodiscard]] auto makeWorkerRun(const StepPlan &plan, int priority, bool remote) const -> WorkerRun;
+    [[nodiscard]] auto makeWorkerRun(const TrackedJob &job, std::uint32_t step, int priority, bool remote) const -> WorkerRun;
     [[nodiscard]] auto runTimeRatioOf(const std::string &queue) const -> double;
 
     DispatchOptions options_;
--- a/marjoramfold/dispatch/joborder.cpp
+++ b/marjoramfold/dispatch/joborder.cpp
@@ -51,8 +51,8 @@
         lateness = 1;
     }
     if (queue.priority_ == 0) {
-        return {0, 0, 0, referenceTime, job.submission_.id_, occurrence, step};
+        return {0, 0, 0, 0, referenceTime, job.submission_.id_, occurrence, step};
     }
-    return {1, lateness, queue.priority_, referenceTime + allowed, job.submission_.id_, occurrence, step};
+    return {1, 0, lateness, queue.priority_, referenceTime + allowed, job.submission_.id_, occurrence, step};
 }
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/joborder.h
+++ b/marjoramfold/dispatch/joborder.h
@@ -13,6 +13,8 @@
 struct StepRank {
     /// 0 for jobs of priority 0, which come first; 1 for all others.
     int urgencyClass_ = 0;
+    /// 1 for urgent tasks that their team's guarantee does not cover, else 0.
+    int beyondGuarantee_ = 0;
     /// 0 while the job can meet its objective, 1 while a late end is still useful, 2 after that.
     int lateness_ = 0;
     int priority_ = 0;
--- a/marjoramfold/dispatch/placementrequest.h
+++ b/marjoramfold/dispatch/placementrequest.h
@@ -19,6 +19,8 @@
     std::string pool_;
     std::uint32_t count_ = 1;
     int priority_ = 0;
+    /// Urgent tasks that their team's guarantee covers; they may reclaim accelerators that other teams use beyond theirs.
+    bool withinGuarantee_ = false;
     /// Workers that are excluded because one of the tasks failed there recently.
     std::set<WorkerId> avoidedWorkers_;
     /// Quarantined workers are allowed, because the others could not hold the request.
--- /dev/null
+++ b/marjoramfold/dispatch/reclaimbudget.cpp
@@ -0,0 +1,56 @@
+#include "marjoramfold/dispatch/reclaimbudget.h"
+
+namespace Marjoramfold
+{
+ReclaimBudget::ReclaimBudget(const WorkerSessionMap &sessions, const GuaranteeOf &guaranteeOf)
+{
+    for (const auto &[id, session] : sessions) {
+        for (const auto &[key, run] : session->runs_) {
+            if (run.priority_ == 0 && run.gangSize_ > 1 && run.stage_ == RunStage::Stopping) {
+                stoppedGangs_.insert(gangOf(key));
+            }
+        }
+    }
+    for (const auto &[id, session] : sessions) {
+        for (const auto &[key, run] : session->runs_) {
+            const auto isStopping = run.stage_ == RunStage::Stopping || (run.gangSize_ > 1 && stoppedGangs_.contains(gangOf(key)));
+            if (run.priority_ == 0 && !isStopping) {
+                excess_[run.team_] += run.demand_.accelerators_;
+            }
+        }
+    }
+    for (auto &[team, excess] : excess_) {
+        excess -= guaranteeOf(team);
+    }
+}
+
+auto ReclaimBudget::gangOf(const RunKey &key) -> GangKey
+{
+    return {key.first.job_, key.first.occurrence_, key.first.step_, key.second};
+}
+
+auto ReclaimBudget::take(const RunKey &key, const WorkerRun &run) -> bool
+{
+    if (run.priority_ > 0) {
+        return true;
+    }
+    // A guarantee is a number of accelerators; work without any would give none back.
+    if (run.demand_.accelerators_ == 0) {
+        return false;
+    }
+    const auto isGang = run.gangSize_ > 1;
+    if (isGang && stoppedGangs_.contains(gangOf(key))) {
+        return true;
+    }
+    const auto found = excess_.find(run.team_);
+    const auto stopped = run.demand_.accelerators_ * run.gangSize_;
+    if (found == excess_.end() || found->second < stopped) {
+        return false;
+    }
+    found->second -= stopped;
+    if (isGang) {
+        stoppedGangs_.insert(gangOf(key));
+    }
+    return true;
+}
+} // namespace Marjoramfold
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -2,7 +2,10 @@
 #include "marjoramfold/observability/logline.h"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
+#include <set>
+#include <utility>
 
 namespace Marjoramfold
 {
@@ -28,18 +31,64 @@
 auto FleetScheduler::runPass() -> void
 {
     ++counts_.passes_;
-    WorkerSelector selector(sessions_.all(), hooks_.evacuatedZones_(), options_.quarantineTime_, BootClock::now());
-    auto ready = readySteps();
-    std::sort(ready.begin(), ready.end(), [](const ReadyStep &left, const ReadyStep &right) {
-        return left.rank_ < right.rank_;
-    });
+    const auto guaranteeOf = [this](const TeamId &team) {
+        return hooks_.config_().guaranteedAccelerators(team);
+    };
+    WorkerSelector selector(sessions_.all(), hooks_.evacuatedZones_(), guaranteeOf, options_.quarantineTime_, BootClock::now());
+    TeamUse urgentUse;
+    auto ready = readySteps(urgentUse);
+    orderSteps(ready, std::move(urgentUse));
     unsigned reservations = 0;
     for (auto &step : ready) {
         placeStep(selector, step, reservations);
     }
 }
 
-auto FleetScheduler::readySteps() -> std::vector<ReadyStep>
+auto FleetScheduler::orderSteps(std::vector<ReadyStep> &ready, TeamUse urgentUse) const -> void
+{
+    const auto sort = [&ready] {
+        std::sort(ready.begin(), ready.end(), [](const ReadyStep &left, const ReadyStep &right) {
+            return left.rank_ < right.rank_;
+        });
+    };
+    sort();
+    std::vector<ReadyStep> divided;
+    // Later work of a team must not overtake earlier work that its guarantee does not cover, such as a gang that is larger.
+    std::set<TeamId> exhausted;
+    for (auto &step : ready) {
+        if (step.rank_.urgencyClass_ != 0) {
+            break;
+        }
+        const auto &team = step.job_->submission_.team_;
+        const auto &plan = step.job_->submission_.plan_.steps_[step.rank_.step_];
+        const auto each = plan.task_.accelerators_;
+        auto &use = urgentUse[team];
+        const auto left = hooks_.config_().guaranteedAccelerators(team) - use;
+        const auto count = static_cast<std::int64_t>(step.tasks_.size());
+        auto covered = left < 0 || exhausted.contains(team) ? 0 : each == 0 ? count : std::min(count, left / each);
+        covered = plan.gang_ && covered < count ? 0 : covered;
+        use += covered * each;
+        if (covered == count) {
+            continue;
+        }
+        exhausted.insert(team);
+        if (covered > 0) {
+            auto rest = step;
+            rest.rank_.beyondGuarantee_ = 1;
+            rest.tasks_.erase(rest.tasks_.begin(), rest.tasks_.begin() + covered);
+            divided.push_back(std::move(rest));
+            step.tasks_.resize(static_cast<std::size_t>(covered));
+        } else {
+            step.rank_.beyondGuarantee_ = 1;
+        }
+    }
+    if (!exhausted.empty()) {
+        std::move(divided.begin(), divided.end(), std::back_inserter(ready));
+        sort();
+    }
+}
+
+auto FleetScheduler::readySteps(TeamUse &urgentUse) -> std::vector<ReadyStep>
 {
     std::vector<ReadyStep> ready;
     const auto &config = hooks_.config_();
@@ -47,13 +96,13 @@
         const auto *queue = config.queueNamed(job->submission_.queue_);
         // Jobs of a queue that was removed from the configuration are kept, but must not start.
         if (queue != nullptr && !queue->requiresAdmissionCheck_ && !job->isClosed()) {
-            collectReady(*job, *queue, ready);
+            collectReady(*job, *queue, ready, urgentUse);
         }
     }
     return ready;
 }
 
-auto FleetScheduler::collectReady(TrackedJob &job, const QueueConfig &queue, std::vector<ReadyStep> &ready) -> void
+auto FleetScheduler::collectReady(TrackedJob &job, const QueueConfig &queue, std::vector<ReadyStep> &ready, TeamUse &urgentUse) -> void
 {
     const auto &plan = job.submission_.plan_;
     const auto wallNow = hooks_.wallNow_();
@@ -65,6 +114,9 @@
         for (std::uint32_t step = 0; step < state.steps_.size() && !state.done_; ++step) {
             const auto &stepPlan = plan.steps_[step];
             auto &stepState = state.steps_[step];
+            if (queue.priority_ == 0 && stepState.active_ > 0) {
+                urgentUse[job.submission_.team_] += stepState.active_ * stepPlan.task_.accelerators_;
+            }
             const auto open = stepState.done_ < stepPlan.count_ && stepState.active_ < stepPlan.count_;
             const auto dependenciesDone = std::all_of(stepPlan.dependsOn_.begin(), stepPlan.dependsOn_.end(), [&](std::uint32_t earlier) {
                 return state.steps_[earlier].done_ == plan.steps_[earlier].count_;
@@ -121,7 +173,8 @@
 {
     const auto &plan = ready.job_->submission_.plan_.steps_[ready.rank_.step_];
     const auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
-    PlacementRequest request{&plan, ready.queue_->pool_, static_cast<std::uint32_t>(tasks.size()), ready.queue_->priority_, {}, false, {}};
+    PlacementRequest request{&plan, ready.queue_->pool_, static_cast<std::uint32_t>(tasks.size()), ready.queue_->priority_, false, {}, false, {}};
+    request.withinGuarantee_ = ready.rank_.urgencyClass_ == 0 && ready.rank_.beyondGuarantee_ == 0;
     const auto now = BootClock::now();
     for (const auto index : tasks) {
         for (const auto &[worker, failures] : state.tasks_[index].failedOn_) {
@@ -169,7 +222,8 @@
         std::chrono::duration<double>(expectedTime(plan, runTimeRatioOf(ready.queue_->name_))) * (options_.remoteSlowdown_ - 1.0) * LocalityWaitShare;
     // Urgent work must start by its deadline even if remote; preemption needs the stop time before it.
     const auto latest = std::chrono::duration<double>(options_.guaranteedStartDeadline_ - options_.maxStopTime_ - GuaranteedStartMargin);
-    if (prefersLocality && (!couldFitLocally || waited > (urgent ? std::min(latest, slowdown) : slowdown))) {
+    const auto mayBeRemote = !couldFitLocally || waited > (urgent ? std::min(latest, slowdown) : slowdown);
+    if (prefersLocality && mayBeRemote) {
         if (auto choice = selector.findPlacement(request, false); choice) {
             return choice;
         }
@@ -179,6 +233,16 @@
             }
         }
     }
+    if (request.withinGuarantee_ && (!prefersLocality || mayBeRemote)) {
+        if (auto choice = selector.findPlacementByReclaim(request, couldFitLocally); choice) {
+            return choice;
+        }
+        if (prefersLocality && couldFitLocally) {
+            if (auto choice = selector.findPlacementByReclaim(request, false); choice) {
+                return choice;
+            }
+        }
+    }
     const auto mayReserve = plan.gang_ && waited > ReservationDelay && ready.rank_.lateness_ < 2;
     if (mayReserve && reservations < MaxGangReservations && selector.acceleratorUtilization() > MinReservationUtilization) {
         ++reservations;
@@ -228,22 +292,27 @@
         .with("idle", capacity.idle_)
         .with("quarantined", capacity.quarantined_)
         .with("avoided", request.avoidedWorkers_.size())
-        .with("last_resort", request.lastResort_);
+        .with("last_resort", request.lastResort_)
+        .with("within_guarantee", request.withinGuarantee_);
 }
 
 auto FleetScheduler::preempt(WorkerSelector &selector, const ReadyStep &ready, const PlacementDecision &choice) -> void
 {
     for (const auto &[session, key] : choice.victims_) {
-        if (session->runs_.at(key).stage_ == RunStage::Stopping) {
+        const auto &victim = session->runs_.at(key);
+        if (victim.stage_ == RunStage::Stopping) {
             continue;
         }
-        ++counts_.preemptions_;
+        ++(victim.priority_ == 0 ? counts_.reclaims_ : counts_.preemptions_);
         LogLine(LogSeverity::Info, "run_preempted")
             .job(key.first.job_.value())
             .with("task", toString(key.first))
             .with("run", key.second)
             .with("worker", session->entry_.id_.value())
-            .with("for_job", ready.job_->submission_.id_.value());
+            .with("priority", victim.priority_)
+            .with("team", victim.team_.value())
+            .with("for_job", ready.job_->submission_.id_.value())
+            .with("for_team", ready.job_->submission_.team_.value());
         sessions_.stop(session->entry_.id_, key.first, key.second);
     }
     auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
@@ -271,9 +340,11 @@
     return true;
 }
 
-auto FleetScheduler::makeWorkerRun(const StepPlan &plan, int priority, bool remote) const -> WorkerRun
+auto FleetScheduler::makeWorkerRun(const TrackedJob &job, std::uint32_t step, int priority, bool remote) const -> WorkerRun
 {
+    const auto &plan = job.submission_.plan_.steps_[step];
     WorkerRun run;
+    run.team_ = job.submission_.team_;
     run.demand_ = plan.task_;
     run.priority_ = priority;
     run.gangSize_ = plan.gang_ ? plan.count_ : 1;
@@ -306,7 +377,7 @@
         task.workerIncarnation_ = session.incarnation_;
         ++state.active_;
         ++job.active_;
-        sessions_.place(session.entry_.id_, ref, task.lastRun_, makeWorkerRun(plan, ready.queue_->priority_, choice.remote_));
+        sessions_.place(session.entry_.id_, ref, task.lastRun_, makeWorkerRun(job, ready.rank_.step_, ready.queue_->priority_, choice.remote_));
         selector.allocate(session, plan.task_);
         pendingStarts_.push_back({ref, task.lastRun_, session.entry_.id_});
         markDirty(job, ready.rank_.occurrence_, ready.rank_.step_, tasks[i]);
--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -1,6 +1,7 @@
 #include "marjoramfold/dispatch/workerselector.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Marjoramfold
@@ -16,6 +17,9 @@
 /// Cost of a restart besides the lost work: the stop, the wait for capacity and the restore.
 constexpr double RestartOverheadSeconds = 1.0;
 
+/// Added to the cost of stopping urgent work, so that less urgent work is stopped first.
+constexpr double UrgentVictimCost = 1e6;
+
 /// A worker with progress within this time counts as healthy; faults that health checks do not detect last about 5 s.
 constexpr std::chrono::milliseconds MaxHealthyAge{4000};
 
@@ -53,9 +57,12 @@
 
 WorkerSelector::WorkerSelector(const WorkerSessionMap &sessions,
                                const std::unordered_set<std::string> &evacuatedZones,
+                               GuaranteeOf guaranteeOf,
                                std::chrono::milliseconds lastResortDelay,
                                BootTime now)
-    : now_(now)
+    : sessions_(sessions)
+    , guaranteeOf_(std::move(guaranteeOf))
+    , now_(now)
 {
     candidates_.reserve(sessions.size());
     for (const auto &[id, session] : sessions) {
@@ -246,54 +253,88 @@
     return best;
 }
 
-auto WorkerSelector::selectAfterRemoval(const Group &group, const PlacementRequest &request, const RemovalCost &costOf) const
-    -> std::optional<std::pair<PlacementDecision, double>>
+auto WorkerSelector::removalOptions(const Candidate &candidate, const PlacementRequest &request, const RemovalCost &costOf, const ReclaimBudget *budget)
+    -> std::vector<RemovalOption>
 {
-    /// Number of tasks that fit on a worker once some of its runs are removed.
-    struct Option {
-        const Candidate *candidate_ = nullptr;
-        std::uint32_t fits_ = 0;
-        double cost_ = 0;
-        std::vector<RunKey> victims_;
-    };
-    std::vector<Option> options;
-    for (const auto *candidate : group) {
-        auto *session = candidate->session_;
-        const auto limit = taskLimitAt(request, session->entry_.id_, request.count_);
-        std::vector<std::pair<double, RunKey>> runs;
-        for (const auto &[key, run] : session->runs_) {
-            if (const auto cost = costOf(run); cost) {
-                runs.emplace_back(*cost, key);
-            }
+    const auto &session = *candidate.session_;
+    const auto limit = taskLimitAt(request, session.entry_.id_, request.count_);
+    std::vector<std::pair<double, RunKey>> runs;
+    for (const auto &[key, run] : session.runs_) {
+        if (const auto cost = costOf(run); cost) {
+            runs.emplace_back(*cost, key);
         }
-        // Removes the cheapest runs first and keeps an option for each further task that fits.
-        std::sort(runs.begin(), runs.end());
-        auto free = candidate->free_;
-        Option option{candidate, countFitting(free, request.step_->task_, limit), 0, {}};
-        if (option.fits_ > 0) {
+    }
+    std::sort(runs.begin(), runs.end());
+    auto left = budget == nullptr ? std::nullopt : std::optional(*budget);
+    auto free = candidate.free_;
+    std::vector<RemovalOption> options;
+    RemovalOption option{&candidate, countFitting(free, request.step_->task_, limit), 0, {}};
+    if (option.fits_ > 0) {
+        options.push_back(option);
+    }
+    for (const auto &[cost, key] : runs) {
+        const auto &run = session.runs_.at(key);
+        if (left && run.stage_ != RunStage::Stopping && !left->take(key, run)) {
+            continue;
+        }
+        free += run.demand_;
+        option.cost_ += cost;
+        option.victims_.push_back(key);
+        const auto fits = countFitting(free, request.step_->task_, limit);
+        if (fits > option.fits_) {
+            option.fits_ = fits;
             options.push_back(option);
         }
-        for (const auto &[cost, key] : runs) {
-            free += session->runs_.at(key).demand_;
-            option.cost_ += cost;
-            option.victims_.push_back(key);
-            const auto fits = countFitting(free, request.step_->task_, limit);
-            if (fits > option.fits_) {
-                option.fits_ = fits;
-                options.push_back(option);
-            }
+    }
+    return options;
+}
+
+auto WorkerSelector::takeVictims(const RemovalOption &option, ReclaimBudget *budget) -> bool
+{
+    if (budget == nullptr) {
+        return true;
+    }
+    auto left = *budget;
+    for (const auto &key : option.victims_) {
+        const auto &run = option.candidate_->session_->runs_.at(key);
+        if (run.stage_ != RunStage::Stopping && !left.take(key, run)) {
+            return false;
         }
     }
-    std::stable_sort(options.begin(), options.end(), [](const Option &left, const Option &right) {
+    *budget = std::move(left);
+    return true;
+}
+
+auto WorkerSelector::selectAfterRemoval(const Group &group,
+                                        const PlacementRequest &request,
+                                        const RemovalCost &costOf,
+                                        std::optional<ReclaimBudget> budget) const -> std::optional<std::pair<PlacementDecision, double>>
+{
+    auto *const limits = budget ? &*budget : nullptr;
+    std::vector<RemovalOption> options;
+    for (const auto *candidate : group) {
+        auto found = removalOptions(*candidate, request, costOf, limits);
+        std::move(found.begin(), found.end(), std::back_inserter(options));
+    }
+    std::stable_sort(options.begin(), options.end(), [](const RemovalOption &left, const RemovalOption &right) {
         return left.cost_ / left.fits_ < right.cost_ / right.fits_;
     });
     PlacementDecision placement;
     double cost = 0;
     std::set<const Candidate *> used;
-    for (const auto &option : options) {
-        if (placement.workers_.size() >= request.count_ || !used.insert(option.candidate_).second) {
+    for (auto &option : options) {
+        if (placement.workers_.size() >= request.count_ || used.contains(option.candidate_)) {
             continue;
         }
+        if (!takeVictims(option, limits)) {
+            // Options chosen before have used up a part of the budget.
+            const auto remaining = removalOptions(*option.candidate_, request, costOf, limits);
+            if (remaining.empty() || !takeVictims(remaining.back(), limits)) {
+                continue;
+            }
+            option = remaining.back();
+        }
+        used.insert(option.candidate_);
         cost += option.cost_;
         for (std::uint32_t i = 0; i < option.fits_ && placement.workers_.size() < request.count_; ++i) {
             placement.workers_.push_back(option.candidate_->session_);
@@ -308,14 +349,15 @@
     return std::pair(std::move(placement), cost);
 }
 
-auto WorkerSelector::cheapestAfterRemoval(const PlacementRequest &request, bool local, const RemovalCost &costOf) -> std::optional<PlacementDecision>
+auto WorkerSelector::cheapestAfterRemoval(const PlacementRequest &request, bool local, const RemovalCost &costOf, const std::optional<ReclaimBudget> &budget)
+    -> std::optional<PlacementDecision>
 {
     std::optional<std::pair<PlacementDecision, double>> best;
     const auto couldHold = [&request](const Candidate &candidate) {
         return candidate.session_->entry_.capacity_.covers(request.step_->task_);
     };
     for (const auto &group : groupsFor(request, local, couldHold)) {
-        auto option = selectAfterRemoval(group, request, costOf);
+        auto option = selectAfterRemoval(group, request, costOf, budget);
         if (option && (!best || option->second < best->second)) {
             best = std::move(option);
         }
@@ -332,7 +374,7 @@
     if (failed_.contains(request, local, FailedRequests::Search::Preemption)) {
         return std::nullopt;
     }
-    auto choice = cheapestAfterRemoval(request, local, [this, &request](const WorkerRun &run) -> std::optional<double> {
+    const auto costOf = [this, &request](const WorkerRun &run) -> std::optional<double> {
         if (run.stage_ == RunStage::Stopping) {
             return 0.0;
         }
@@ -340,19 +382,43 @@
             return std::nullopt;
         }
         return preemptionCost(run, now_);
-    });
+    };
+    auto choice = cheapestAfterRemoval(request, local, costOf, std::nullopt);
     if (!choice) {
         failed_.add(request, local, FailedRequests::Search::Preemption);
     }
     return choice;
 }
 
+auto WorkerSelector::findPlacementByReclaim(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
+{
+    if (failed_.contains(request, local, FailedRequests::Search::Reclaim)) {
+        return std::nullopt;
+    }
+    const auto costOf = [this](const WorkerRun &run) -> std::optional<double> {
+        if (run.stage_ == RunStage::Stopping) {
+            return 0.0;
+        }
+        if (run.stage_ == RunStage::Recorded) {
+            return std::nullopt;
+        }
+        return preemptionCost(run, now_) + (run.priority_ == 0 ? UrgentVictimCost : 0.0);
+    };
+    // Stops that were decided earlier in this pass show in the stages of the runs.
+    auto choice = cheapestAfterRemoval(request, local, costOf, ReclaimBudget(sessions_, guaranteeOf_));
+    if (!choice) {
+        failed_.add(request, local, FailedRequests::Search::Reclaim);
+    }
+    return choice;
+}
+
 auto WorkerSelector::findReservation(const PlacementRequest &request, bool local) -> std::vector<WorkerSession *>
 {
-    const auto found = cheapestAfterRemoval(request, local, [this](const WorkerRun &run) -> std::optional<double> {
+    const auto costOf = [this](const WorkerRun &run) -> std::optional<double> {
         const auto left = std::chrono::duration<double>(run.expected_) - std::chrono::duration<double>(now_ - run.placedAt_);
         return std::max(0.1, left.count());
-    });
+    };
+    const auto found = cheapestAfterRemoval(request, local, costOf, std::nullopt);
     return found ? found->workers_ : std::vector<WorkerSession *>{};
 }
 
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -2,6 +2,7 @@
 
 #include "marjoramfold/dispatch/failedrequests.h"
 #include "marjoramfold/dispatch/placementrequest.h"
+#include "marjoramfold/dispatch/reclaimbudget.h"
 #include "marjoramfold/dispatch/workersession.h"
 
 #include <chrono>
@@ -26,6 +27,7 @@
     /// quarantined worker gets work that no other worker can take.
     WorkerSelector(const WorkerSessionMap &sessions,
                    const std::unordered_set<std::string> &evacuatedZones,
+                   GuaranteeOf guaranteeOf,
                    std::chrono::milliseconds lastResortDelay,
                    BootTime now);
 
@@ -35,6 +37,9 @@
     /// Placement that preempts lower priorities with the smallest loss of work.
     [[nodiscard]] auto findPlacementByPreemption(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>;
 
+    /// Placement that also stops urgent runs of teams that use more than their guarantee, for a request within its own team's.
+    [[nodiscard]] auto findPlacementByReclaim(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>;
+
     /// Workers on which a blocked gang is expected to fit soonest when nothing else starts there; empty when there are none.
     [[nodiscard]] auto findReservation(const PlacementRequest &request, bool local) -> std::vector<WorkerSession *>;
 
@@ -86,10 +91,26 @@
     [[nodiscard]] auto fitsCapacity(const PlacementRequest &request) -> bool;
     [[nodiscard]] auto candidateOf(const WorkerSession &session) -> Candidate *;
     [[nodiscard]] auto selectWorkers(const Group &group, const PlacementRequest &request) const -> std::vector<WorkerSession *>;
-    [[nodiscard]] auto selectAfterRemoval(const Group &group, const PlacementRequest &request, const RemovalCost &costOf) const
+    /// Number of tasks that fit on a worker once some of its runs are removed.
+    struct RemovalOption {
+        const Candidate *candidate_ = nullptr;
+        std::uint32_t fits_ = 0;
+        double cost_ = 0;
+        std::vector<RunKey> victims_;
+    };
+
+    /// Options of one worker, the cheapest runs removed first. A null `budget` sets no limit to the removed runs.
+    [[nodiscard]] static auto
+    removalOptions(const Candidate &candidate, const PlacementRequest &request, const RemovalCost &costOf, const ReclaimBudget *budget)
+        -> std::vector<RemovalOption>;
+    /// Takes an option's runs from the budget; returns false and changes nothing if one of them cannot be taken.
+    [[nodiscard]] static auto takeVictims(const RemovalOption &option, ReclaimBudget *budget) -> bool;
+    [[nodiscard]] auto
+    selectAfterRemoval(const Group &group, const PlacementRequest &request, const RemovalCost &costOf, std::optional<ReclaimBudget> budget) const
         -> std::optional<std::pair<PlacementDecision, double>>;
 
-    [[nodiscard]] auto cheapestAfterRemoval(const PlacementRequest &request, bool local, const RemovalCost &costOf) -> std::optional<PlacementDecision>;
+    [[nodiscard]] auto cheapestAfterRemoval(const PlacementRequest &request, bool local, const RemovalCost &costOf, const std::optional<ReclaimBudget> &budget)
+        -> std::optional<PlacementDecision>;
 
     [[nodiscard]] static auto isIdle(const Candidate &candidate) -> bool;
 
@@ -98,6 +119,8 @@
     [[nodiscard]] static auto needsHealthyWorkers(const PlacementRequest &request) -> bool;
     [[nodiscard]] auto wasRecentlyHealthy(const WorkerSession &session) const -> bool;
 
+    const WorkerSessionMap &sessions_;
+    GuaranteeOf guaranteeOf_;
     /// In the order of the worker ids.
     std::vector<Candidate> candidates_;
     FailedRequests failed_;
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -38,6 +38,7 @@
     RunStage stage_ = RunStage::Recorded;
     ResourceVector demand_;
     int priority_ = 0;
+    TeamId team_;
     /// Number of tasks that end when this run is stopped: all members of a gang.
     std::uint32_t gangSize_ = 1;
     /// Stopping the run saves its progress.
--- a/marjoramfold/fleet/operatorconfig.cpp
+++ b/marjoramfold/fleet/operatorconfig.cpp
@@ -22,6 +22,7 @@
         });
     }
     for (std::size_t i = 0; i < teams_.size(); ++i) {
+        guarantees_[teams_[i].id_] = teams_[i].guaranteedAccelerators_;
         for (const auto &key : teams_[i].keys_) {
             teamsByKey_[key] = i;
         }
@@ -58,4 +59,10 @@
     const auto found = teamsByKey_.find(key);
     return found == teamsByKey_.end() ? nullptr : &teams_[found->second];
 }
+
+auto OperatorConfig::guaranteedAccelerators(const TeamId &team) const -> std::int64_t
+{
+    const auto found = guarantees_.find(team);
+    return found == guarantees_.end() ? 0 : found->second;
+}
 } // namespace Marjoramfold
--- a/marjoramfold/fleet/operatorconfig.h
+++ b/marjoramfold/fleet/operatorconfig.h
@@ -68,6 +68,9 @@
     /// Team that owns an API key; null for an unknown key.
     [[nodiscard]] auto teamOfKey(const std::string &key) const -> const TeamConfig *;
 
+    /// Accelerators guaranteed to a team's jobs of priority 0; none for an unknown team.
+    [[nodiscard]] auto guaranteedAccelerators(const TeamId &team) const -> std::int64_t;
+
 private:
     std::uint64_t version_ = 0;
     std::vector<QueueConfig> queues_;
@@ -76,5 +79,6 @@
     std::unordered_map<std::string, std::vector<std::size_t>> queuesByHost_;
     std::unordered_map<std::string, std::size_t> queuesByName_;
     std::unordered_map<std::string, std::size_t> teamsByKey_;
+    std::unordered_map<TeamId, std::int64_t> guarantees_;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/node/instancemetrics.cpp
+++ b/marjoramfold/node/instancemetrics.cpp
@@ -51,6 +51,7 @@
         {"failed", counts.failedRuns_},
         {"lost", counts.lostRuns_},
         {"preemption", counts.preemptions_},
+        {"reclaim", counts.reclaims_},
         {"stall", counts.stalls_},
         {"move", counts.moves_},
         {"unexpected_run", counts.unexpectedRuns_},
--- a/tests/unit/test_failedrequests.cpp
+++ b/tests/unit/test_failedrequests.cpp
@@ -21,7 +21,7 @@
 
 auto makeRequest(const StepPlan &step) -> PlacementRequest
 {
-    return {&step, "pool", step.count_, 2, {}, false, {}};
+    return {&step, "pool", step.count_, 2, false, {}, false, {}};
 }
 } // namespace
 
@@ -117,7 +117,7 @@
     auto step = makeStep(2, 8, true);
     step.prefersOneRack_ = true;
     step.task_ = {11'000, 46'000, 4};
-    WorkerSelector selector(sessions, {}, 5s, BootTime(100s));
+    WorkerSelector selector(sessions, {}, {}, 5s, BootTime(100s));
     const auto choice = selector.findPlacement(makeRequest(step), true);
     REQUIRE(choice);
     CHECK(choice->workers_.front()->entry_.rack_ == RackId("rack-b"));
--- a/tests/unit/test_interventions.cpp
+++ b/tests/unit/test_interventions.cpp
@@ -275,9 +275,9 @@
     for (const auto *id : {"b1", "b2"}) {
         add(id, "rack-b", 1, now - 1s);
     }
-    WorkerSelector selector(sessions, {}, 5s, now);
+    WorkerSelector selector(sessions, {}, {}, 5s, now);
     auto submission = asGang(makeSubmission(FirstJob.value(), "batch", 2, SmallTask));
-    PlacementRequest request{&submission.plan_.steps_[0], "pool", 2, 1, {}, false, {}};
+    PlacementRequest request{&submission.plan_.steps_[0], "pool", 2, 1, false, {}, false, {}};
 
     SECTION("a gang gets the rack whose workers made progress recently, although the other rack is fuller")
     {
