Move the search for runs to stop into a file of its own

Placements for which runs have to end first are in removalsearch.cpp, with their constants; the limits of a request are in placementrequest.h. ReclaimBudget::canTake() rejects a run without a copy of the budget, so that a search over hundreds of workers copies it only where a run may be stopped. orderSteps() loses its nested conditions to coveredTasks(). No behaviour changes.

--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -132,6 +132,7 @@
     auto markDirty(const TrackedJob &job, std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) -> void;
     /// The changed progress records. Fails a job whose record exceeds the store's limit, which would block the records of all others.
     [[nodiscard]] auto takeDirtyRecords() -> std::vector<KeyedRecord>;
+    /// Fails a job and stops its runs.
     auto failJob(TrackedJob &job, const std::string &reason) -> void;
     auto setPhase(TrackedJob &job, JobPhase phase) -> void;
     auto flush() -> void;
--- a/marjoramfold/dispatch/placementrequest.h
+++ b/marjoramfold/dispatch/placementrequest.h
@@ -3,6 +3,7 @@
 #include "marjoramfold/dispatch/workersession.h"
 #include "marjoramfold/fleet/jobplan.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <set>
@@ -13,6 +14,17 @@
 
 namespace Marjoramfold
 {
+/// Number of tasks that fit into free resources, up to a limit.
+[[nodiscard]] inline auto countFitting(ResourceVector free, const ResourceVector &task, std::uint32_t limit) -> std::uint32_t
+{
+    std::uint32_t count = 0;
+    while (count < limit && free.covers(task)) {
+        free -= task;
+        ++count;
+    }
+    return count;
+}
+
 /// Requirements of a gang, or of independent tasks of a step, that are placed together.
 struct PlacementRequest {
     const StepPlan *step_ = nullptr;
@@ -27,6 +39,17 @@
     bool lastResort_ = false;
     /// Active runs of the step by worker; they count against the limit per worker.
     std::unordered_map<WorkerId, std::uint32_t> placed_;
+
+    /// Number of further tasks of the step that a worker may get.
+    [[nodiscard]] auto taskLimitAt(const WorkerId &worker, std::uint32_t wanted) const -> std::uint32_t
+    {
+        if (step_->maxPerWorker_ == 0) {
+            return wanted;
+        }
+        const auto found = placed_.find(worker);
+        const auto placed = found == placed_.end() ? 0 : found->second;
+        return placed >= step_->maxPerWorker_ ? 0 : std::min(wanted, step_->maxPerWorker_ - placed);
+    }
 };
 
 /// The workers chosen for a request.
--- a/marjoramfold/dispatch/reclaimbudget.cpp
+++ b/marjoramfold/dispatch/reclaimbudget.cpp
@@ -29,28 +29,34 @@
     return {key.first.job_, key.first.occurrence_, key.first.step_, key.second};
 }
 
-auto ReclaimBudget::take(const RunKey &key, const WorkerRun &run) -> bool
+auto ReclaimBudget::canTake(const RunKey &key, const WorkerRun &run) const -> bool
 {
-    if (run.priority_ > 0) {
+    if (run.priority_ > 0 || run.stage_ == RunStage::Stopping) {
         return true;
     }
     // A guarantee is a number of accelerators; work without any would give none back.
     if (run.demand_.accelerators_ == 0) {
         return false;
     }
-    const auto isGang = run.gangSize_ > 1;
-    if (isGang && stoppedGangs_.contains(gangOf(key))) {
+    if (run.gangSize_ > 1 && stoppedGangs_.contains(gangOf(key))) {
         return true;
     }
     const auto found = excess_.find(run.team_);
-    const auto stopped = run.demand_.accelerators_ * run.gangSize_;
-    if (found == excess_.end() || found->second < stopped) {
+    return found != excess_.end() && found->second >= run.demand_.accelerators_ * run.gangSize_;
+}
+
+auto ReclaimBudget::take(const RunKey &key, const WorkerRun &run) -> bool
+{
+    if (!canTake(key, run)) {
         return false;
     }
-    found->second -= stopped;
-    if (isGang) {
-        stoppedGangs_.insert(gangOf(key));
+    if (run.priority_ > 0 || run.stage_ == RunStage::Stopping) {
+        return true;
+    }
+    if (run.gangSize_ > 1 && !stoppedGangs_.insert(gangOf(key)).second) {
+        return true;
     }
+    excess_[run.team_] -= run.demand_.accelerators_ * run.gangSize_;
     return true;
 }
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/reclaimbudget.h
+++ b/marjoramfold/dispatch/reclaimbudget.h
@@ -23,7 +23,10 @@
 public:
     ReclaimBudget(const WorkerSessionMap &sessions, const GuaranteeOf &guaranteeOf);
 
-    /// Counts a run, and with it its gang, as stopped. Returns false and changes nothing when the run must go on for its team's guarantee.
+    /// True when a run may be stopped: its team keeps its guarantee, also without the rest of the run's gang.
+    [[nodiscard]] auto canTake(const RunKey &key, const WorkerRun &run) const -> bool;
+
+    /// Counts a run, and with it its gang, as stopped. Returns false and changes nothing when canTake() is false.
     auto take(const RunKey &key, const WorkerRun &run) -> bool;
 
 private:
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -13,6 +13,7 @@
 constexpr double QuickFailureShare = 0.1;
 /// Workers to which quick failures of one job are attributed; on further workers the job itself may be the cause.
 constexpr unsigned MaxWorkersAttributedPerJob = 2;
+/// Keeps the factor in range; the longest quarantine is reached before.
 constexpr unsigned MaxQuarantineDoublings = 8;
 
 /// True when the job has the task; worker reports may contain tasks that other clients started.
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -26,6 +26,17 @@
 constexpr std::chrono::milliseconds MaxAwaitTime{300};
 /// Share of the slowdown's cost that tasks wait for a local placement before they accept a remote one.
 constexpr double LocalityWaitShare = 0.5;
+
+/// Number of a step's waiting tasks that `left` guaranteed accelerators cover; a gang is covered as a whole or not at all.
+auto coveredTasks(const StepPlan &step, std::int64_t count, std::int64_t left) -> std::int64_t
+{
+    if (left < 0) {
+        return 0;
+    }
+    const auto each = step.task_.accelerators_;
+    const auto covered = each == 0 ? count : std::min(count, left / each);
+    return step.gang_ && covered < count ? 0 : covered;
+}
 } // namespace
 
 auto FleetScheduler::runPass() -> void
@@ -61,13 +72,11 @@
         }
         const auto &team = step.job_->submission_.team_;
         const auto &plan = step.job_->submission_.plan_.steps_[step.rank_.step_];
-        const auto each = plan.task_.accelerators_;
         auto &use = urgentUse[team];
         const auto left = hooks_.config_().guaranteedAccelerators(team) - use;
         const auto count = static_cast<std::int64_t>(step.tasks_.size());
-        auto covered = left < 0 || exhausted.contains(team) ? 0 : each == 0 ? count : std::min(count, left / each);
-        covered = plan.gang_ && covered < count ? 0 : covered;
-        use += covered * each;
+        const auto covered = exhausted.contains(team) ? 0 : coveredTasks(plan, count, left);
+        use += covered * plan.task_.accelerators_;
         if (covered == count) {
             continue;
         }
@@ -164,6 +173,7 @@
 
 auto FleetScheduler::avoidanceAfter(unsigned failures) const -> std::chrono::milliseconds
 {
+    // The result has reached its limit long before.
     constexpr unsigned MaxDoublings = 8;
     const auto doublings = std::min(failures - 1, MaxDoublings);
     return std::min(options_.failedWorkerAvoidance_ * (1U << doublings), options_.quarantineTime_);
--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -1,58 +1,17 @@
 #include "marjoramfold/dispatch/workerselector.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace Marjoramfold
 {
 namespace
 {
-/// Cores that one accelerator counts for in preemption costs.
-constexpr double CoresPerAccelerator = 8.0;
-
 /// Share of the workers that is kept idle for urgent gangs, which need several whole workers of a rack at once.
 constexpr double IdleReserveShare = 0.06;
 
-/// Cost of a restart besides the lost work: the stop, the wait for capacity and the restore.
-constexpr double RestartOverheadSeconds = 1.0;
-
-/// Added to the cost of stopping urgent work, so that less urgent work is stopped first.
-constexpr double UrgentVictimCost = 1e6;
-
 /// A worker with progress within this time counts as healthy; faults that health checks do not detect last about 5 s.
 constexpr std::chrono::milliseconds MaxHealthyAge{4000};
-
-/// Number of tasks that fit into free resources, up to a limit.
-auto countFitting(ResourceVector free, const ResourceVector &task, std::uint32_t limit) -> std::uint32_t
-{
-    std::uint32_t count = 0;
-    while (count < limit && free.covers(task)) {
-        free -= task;
-        ++count;
-    }
-    return count;
-}
-
-/// Number of further tasks of the step that a worker may get.
-auto taskLimitAt(const PlacementRequest &request, const WorkerId &worker, std::uint32_t wanted) -> std::uint32_t
-{
-    if (request.step_->maxPerWorker_ == 0) {
-        return wanted;
-    }
-    const auto found = request.placed_.find(worker);
-    const auto placed = found == request.placed_.end() ? 0 : found->second;
-    return placed >= request.step_->maxPerWorker_ ? 0 : std::min(wanted, request.step_->maxPerWorker_ - placed);
-}
-
-/// Core-seconds that are lost when a run is stopped now together with its gang.
-auto preemptionCost(const WorkerRun &run, BootTime now) -> double
-{
-    const auto startedAt = run.acceptedAt_ == BootTime{} ? run.placedAt_ : run.acceptedAt_;
-    const auto seconds = std::chrono::duration<double>(now - startedAt).count();
-    const auto cores = static_cast<double>(run.demand_.milliCores_) / 1000.0 + CoresPerAccelerator * static_cast<double>(run.demand_.accelerators_);
-    return (RestartOverheadSeconds + (run.checkpointsOnStop_ ? 0.0 : seconds)) * cores * run.gangSize_;
-}
 } // namespace
 
 WorkerSelector::WorkerSelector(const WorkerSessionMap &sessions,
@@ -112,7 +71,7 @@
     for (const auto &candidate : candidates_) {
         if (!candidate.quarantined_ && eligible(candidate, request)) {
             const auto &entry = candidate.session_->entry_;
-            fits += countFitting(entry.capacity_, request.step_->task_, taskLimitAt(request, entry.id_, required));
+            fits += countFitting(entry.capacity_, request.step_->task_, request.taskLimitAt(entry.id_, required));
         }
         if (fits >= required) {
             failed_.addFit(request, false);
@@ -177,7 +136,7 @@
             --spareWorkers;
         }
         const auto &id = candidate->session_->entry_.id_;
-        const auto fits = countFitting(candidate->free_, request.step_->task_, taskLimitAt(request, id, request.count_));
+        const auto fits = countFitting(candidate->free_, request.step_->task_, request.taskLimitAt(id, request.count_));
         if (fits > 0) {
             ranked.emplace_back(fits, candidate);
         }
@@ -253,175 +212,6 @@
     return best;
 }
 
-auto WorkerSelector::removalOptions(const Candidate &candidate, const PlacementRequest &request, const RemovalCost &costOf, const ReclaimBudget *budget)
-    -> std::vector<RemovalOption>
-{
-    const auto &session = *candidate.session_;
-    const auto limit = taskLimitAt(request, session.entry_.id_, request.count_);
-    std::vector<std::pair<double, RunKey>> runs;
-    for (const auto &[key, run] : session.runs_) {
-        if (const auto cost = costOf(run); cost) {
-            runs.emplace_back(*cost, key);
-        }
-    }
-    std::sort(runs.begin(), runs.end());
-    auto left = budget == nullptr ? std::nullopt : std::optional(*budget);
-    auto free = candidate.free_;
-    std::vector<RemovalOption> options;
-    RemovalOption option{&candidate, countFitting(free, request.step_->task_, limit), 0, {}};
-    if (option.fits_ > 0) {
-        options.push_back(option);
-    }
-    for (const auto &[cost, key] : runs) {
-        const auto &run = session.runs_.at(key);
-        if (left && run.stage_ != RunStage::Stopping && !left->take(key, run)) {
-            continue;
-        }
-        free += run.demand_;
-        option.cost_ += cost;
-        option.victims_.push_back(key);
-        const auto fits = countFitting(free, request.step_->task_, limit);
-        if (fits > option.fits_) {
-            option.fits_ = fits;
-            options.push_back(option);
-        }
-    }
-    return options;
-}
-
-auto WorkerSelector::takeVictims(const RemovalOption &option, ReclaimBudget *budget) -> bool
-{
-    if (budget == nullptr) {
-        return true;
-    }
-    auto left = *budget;
-    for (const auto &key : option.victims_) {
-        const auto &run = option.candidate_->session_->runs_.at(key);
-        if (run.stage_ != RunStage::Stopping && !left.take(key, run)) {
-            return false;
-        }
-    }
-    *budget = std::move(left);
-    return true;
-}
-
-auto WorkerSelector::selectAfterRemoval(const Group &group,
-                                        const PlacementRequest &request,
-                                        const RemovalCost &costOf,
-                                        std::optional<ReclaimBudget> budget) const -> std::optional<std::pair<PlacementDecision, double>>
-{
-    auto *const limits = budget ? &*budget : nullptr;
-    std::vector<RemovalOption> options;
-    for (const auto *candidate : group) {
-        auto found = removalOptions(*candidate, request, costOf, limits);
-        std::move(found.begin(), found.end(), std::back_inserter(options));
-    }
-    std::stable_sort(options.begin(), options.end(), [](const RemovalOption &left, const RemovalOption &right) {
-        return left.cost_ / left.fits_ < right.cost_ / right.fits_;
-    });
-    PlacementDecision placement;
-    double cost = 0;
-    std::set<const Candidate *> used;
-    for (auto &option : options) {
-        if (placement.workers_.size() >= request.count_ || used.contains(option.candidate_)) {
-            continue;
-        }
-        if (!takeVictims(option, limits)) {
-            // Options chosen before have used up a part of the budget.
-            const auto remaining = removalOptions(*option.candidate_, request, costOf, limits);
-            if (remaining.empty() || !takeVictims(remaining.back(), limits)) {
-                continue;
-            }
-            option = remaining.back();
-        }
-        used.insert(option.candidate_);
-        cost += option.cost_;
-        for (std::uint32_t i = 0; i < option.fits_ && placement.workers_.size() < request.count_; ++i) {
-            placement.workers_.push_back(option.candidate_->session_);
-        }
-        for (const auto &victim : option.victims_) {
-            placement.victims_.emplace_back(option.candidate_->session_, victim);
-        }
-    }
-    if (placement.workers_.size() < (request.step_->gang_ ? request.count_ : 1)) {
-        return std::nullopt;
-    }
-    return std::pair(std::move(placement), cost);
-}
-
-auto WorkerSelector::cheapestAfterRemoval(const PlacementRequest &request, bool local, const RemovalCost &costOf, const std::optional<ReclaimBudget> &budget)
-    -> std::optional<PlacementDecision>
-{
-    std::optional<std::pair<PlacementDecision, double>> best;
-    const auto couldHold = [&request](const Candidate &candidate) {
-        return candidate.session_->entry_.capacity_.covers(request.step_->task_);
-    };
-    for (const auto &group : groupsFor(request, local, couldHold)) {
-        auto option = selectAfterRemoval(group, request, costOf, budget);
-        if (option && (!best || option->second < best->second)) {
-            best = std::move(option);
-        }
-    }
-    if (!best) {
-        return std::nullopt;
-    }
-    best->first.remote_ = !local;
-    return std::move(best->first);
-}
-
-auto WorkerSelector::findPlacementByPreemption(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
-{
-    if (failed_.contains(request, local, FailedRequests::Search::Preemption)) {
-        return std::nullopt;
-    }
-    const auto costOf = [this, &request](const WorkerRun &run) -> std::optional<double> {
-        if (run.stage_ == RunStage::Stopping) {
-            return 0.0;
-        }
-        if (run.priority_ <= request.priority_ || run.stage_ == RunStage::Recorded) {
-            return std::nullopt;
-        }
-        return preemptionCost(run, now_);
-    };
-    auto choice = cheapestAfterRemoval(request, local, costOf, std::nullopt);
-    if (!choice) {
-        failed_.add(request, local, FailedRequests::Search::Preemption);
-    }
-    return choice;
-}
-
-auto WorkerSelector::findPlacementByReclaim(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
-{
-    if (failed_.contains(request, local, FailedRequests::Search::Reclaim)) {
-        return std::nullopt;
-    }
-    const auto costOf = [this](const WorkerRun &run) -> std::optional<double> {
-        if (run.stage_ == RunStage::Stopping) {
-            return 0.0;
-        }
-        if (run.stage_ == RunStage::Recorded) {
-            return std::nullopt;
-        }
-        return preemptionCost(run, now_) + (run.priority_ == 0 ? UrgentVictimCost : 0.0);
-    };
-    // Stops that were decided earlier in this pass show in the stages of the runs.
-    auto choice = cheapestAfterRemoval(request, local, costOf, ReclaimBudget(sessions_, guaranteeOf_));
-    if (!choice) {
-        failed_.add(request, local, FailedRequests::Search::Reclaim);
-    }
-    return choice;
-}
-
-auto WorkerSelector::findReservation(const PlacementRequest &request, bool local) -> std::vector<WorkerSession *>
-{
-    const auto costOf = [this](const WorkerRun &run) -> std::optional<double> {
-        const auto left = std::chrono::duration<double>(run.expected_) - std::chrono::duration<double>(now_ - run.placedAt_);
-        return std::max(0.1, left.count());
-    };
-    const auto found = cheapestAfterRemoval(request, local, costOf, std::nullopt);
-    return found ? found->workers_ : std::vector<WorkerSession *>{};
-}
-
 auto WorkerSelector::couldFitLocally(const PlacementRequest &request) -> bool
 {
     if (failed_.containsFit(request, true)) {
@@ -447,8 +237,8 @@
     for (const auto &group : groupsFor(request, true, couldHold)) {
         std::uint32_t fits = 0;
         for (const auto *candidate : group) {
-            fits += countFitting(
-                candidate->session_->entry_.capacity_, request.step_->task_, taskLimitAt(request, candidate->session_->entry_.id_, request.count_));
+            fits +=
+                countFitting(candidate->session_->entry_.capacity_, request.step_->task_, request.taskLimitAt(candidate->session_->entry_.id_, request.count_));
         }
         if (fits >= (request.step_->gang_ ? request.count_ : 1)) {
             return true;
