Log why a step waits, and until when

Cause: step_waits said how many workers have room, but not whether one of the scheduler's preferences keeps the step from them. Change: step_waits names in held_by a smallest set of preferences without which the step would start now, what the step prefers, when its wait for a rack ends, the expected run time, the age, the last run and the age of the leadership; step_placed says how long the step waited. The preferences that a request has given up are a set, which replaces the flag of the last resort. No decision changes. The search for the preferences runs once in 5 s for each waiting step, in at most six searches of the workers.

--- a/marjoramfold/dispatch/failedrequests.cpp
+++ b/marjoramfold/dispatch/failedrequests.cpp
@@ -22,7 +22,7 @@
     Shape shape;
     shape.search_ = search;
     shape.local_ = local;
-    shape.lastResort_ = request.lastResort_;
+    shape.waived_ = request.waived_;
     shape.gang_ = step.gang_;
     shape.oneRack_ = step.prefersOneRack_;
     shape.priority_ = request.priority_;
--- a/marjoramfold/dispatch/failedrequests.h
+++ b/marjoramfold/dispatch/failedrequests.h
@@ -43,7 +43,7 @@
     struct Shape {
         Search search_ = Search::FreeCapacity;
         bool local_ = false;
-        bool lastResort_ = false;
+        PreferenceSet waived_;
         bool gang_ = false;
         bool oneRack_ = false;
         int priority_ = 0;
--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -175,6 +175,7 @@
     adoptRestoredRuns();
     sessions_.startRenewals(previousRenewalsUntil);
     scheduling_ = true;
+    schedulingSince_ = BootClock::now();
     // A previous leader may have stored progress without completing or failing the job.
     std::vector<TrackedJob *> jobs;
     for (const auto &[id, job] : open_) {
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -191,11 +191,13 @@
     /// Time for which a task is kept away from a worker after a number of failures there.
     [[nodiscard]] auto avoidanceAfter(unsigned failures) const -> std::chrono::milliseconds;
     [[nodiscard]] auto makeRequest(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks) -> PlacementRequest;
+    /// Longest time for which a step waits for workers without a slowdown.
+    [[nodiscard]] auto localityWait(const ReadyStep &ready) const -> std::chrono::milliseconds;
     [[nodiscard]] auto choosePlacement(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request, unsigned &reservations)
         -> std::optional<PlacementDecision>;
     /// Keeps capacity for a step whose preempted runs are still being stopped; false when there are none.
     auto holdAwaitedWorkers(WorkerSelector &selector, const ReadyStep &ready) -> bool;
-    auto logWaitingStep(const WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request) -> void;
+    auto logWaitingStep(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request) -> void;
     auto preempt(WorkerSelector &selector, const ReadyStep &ready, const PlacementDecision &choice) -> void;
     auto startTasks(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, const PlacementDecision &choice) -> void;
     /// The state of a new run that occupies capacity of a worker.
@@ -223,6 +225,7 @@
     std::unordered_map<std::string, double> runTimeRatios_;
     SchedulerCounts counts_;
     bool scheduling_ = false;
+    BootTime schedulingSince_{};
     bool passRequested_ = false;
     /// Passes until then would take more than their share of the control thread's time.
     BootTime nextPassAt_{};
--- a/marjoramfold/dispatch/placementrequest.h
+++ b/marjoramfold/dispatch/placementrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marjoramfold/dispatch/preferences.h"
 #include "marjoramfold/dispatch/workersession.h"
 #include "marjoramfold/fleet/jobplan.h"
 
@@ -35,11 +36,17 @@
     bool withinGuarantee_ = false;
     /// Workers that are excluded because one of the tasks failed there recently.
     std::set<WorkerId> avoidedWorkers_;
-    /// Quarantined workers are allowed, because the others could not hold the request.
-    bool lastResort_ = false;
+    /// Preferences that are given up for the request. Locality is chosen by the caller of a search instead, since a step has several searches.
+    PreferenceSet waived_;
     /// Active runs of the step by worker; they count against the limit per worker.
     std::unordered_map<WorkerId, std::uint32_t> placed_;
 
+    /// True when the tasks run slower on workers away from their data, or a gang on more than one rack.
+    [[nodiscard]] auto prefersLocality() const -> bool
+    {
+        return !step_->dataRack_.empty() || (step_->gang_ && step_->prefersOneRack_ && count_ > 1);
+    }
+
     /// Number of further tasks of the step that a worker may get.
     [[nodiscard]] auto taskLimitAt(const WorkerId &worker, std::uint32_t wanted) const -> std::uint32_t
     {
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -183,7 +183,7 @@
 {
     const auto &plan = ready.job_->submission_.plan_.steps_[ready.rank_.step_];
     const auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
-    PlacementRequest request{&plan, ready.queue_->pool_, static_cast<std::uint32_t>(tasks.size()), ready.queue_->priority_, false, {}, false, {}};
+    PlacementRequest request{&plan, ready.queue_->pool_, static_cast<std::uint32_t>(tasks.size()), ready.queue_->priority_, false, {}, {}, {}};
     request.withinGuarantee_ = ready.rank_.urgencyClass_ == 0 && ready.rank_.beyondGuarantee_ == 0;
     const auto now = BootClock::now();
     for (const auto index : tasks) {
@@ -193,7 +193,10 @@
             }
         }
     }
-    request.lastResort_ = !selector.couldHoldUnquarantined(request);
+    // A step that no other worker can take cannot wait for another worker to become idle either.
+    if (!selector.couldHoldUnquarantined(request)) {
+        request.waived_ = {Preference::Quarantine, Preference::IdleReserve};
+    }
     if (plan.maxPerWorker_ > 0) {
         for (const auto &task : state.tasks_) {
             if (task.isActive()) {
@@ -204,11 +207,21 @@
     return request;
 }
 
+auto FleetScheduler::localityWait(const ReadyStep &ready) const -> std::chrono::milliseconds
+{
+    const auto &plan = ready.job_->submission_.plan_.steps_[ready.rank_.step_];
+    const auto cost = expectedTime(plan, runTimeRatioOf(ready.queue_->name_)) * (options_.remoteSlowdown_ - 1.0) * LocalityWaitShare;
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(cost);
+    // Urgent work must start by its deadline even if remote; preemption needs the stop time before it.
+    const auto latest = options_.guaranteedStartDeadline_ - options_.maxStopTime_ - GuaranteedStartMargin;
+    return ready.queue_->priority_ == 0 ? std::min(latest, wait) : wait;
+}
+
 auto FleetScheduler::choosePlacement(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request, unsigned &reservations)
     -> std::optional<PlacementDecision>
 {
     const auto &plan = *request.step_;
-    const auto prefersLocality = !plan.dataRack_.empty() || (plan.gang_ && plan.prefersOneRack_ && request.count_ > 1);
+    const auto prefersLocality = request.prefersLocality();
     const auto urgent = ready.queue_->priority_ == 0;
     auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
     const auto now = BootClock::now();
@@ -228,11 +241,7 @@
         state.waitingSince_ = now;
     }
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - state.waitingSince_);
-    const auto slowdown =
-        std::chrono::duration<double>(expectedTime(plan, runTimeRatioOf(ready.queue_->name_))) * (options_.remoteSlowdown_ - 1.0) * LocalityWaitShare;
-    // Urgent work must start by its deadline even if remote; preemption needs the stop time before it.
-    const auto latest = std::chrono::duration<double>(options_.guaranteedStartDeadline_ - options_.maxStopTime_ - GuaranteedStartMargin);
-    const auto mayBeRemote = !couldFitLocally || waited > (urgent ? std::min(latest, slowdown) : slowdown);
+    const auto mayBeRemote = !couldFitLocally || waited > localityWait(ready);
     if (prefersLocality && mayBeRemote) {
         if (auto choice = selector.findPlacement(request, false); choice) {
             return choice;
@@ -278,7 +287,7 @@
     startTasks(selector, ready, tasks, *choice);
 }
 
-auto FleetScheduler::logWaitingStep(const WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request) -> void
+auto FleetScheduler::logWaitingStep(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request) -> void
 {
     auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
     const auto now = BootClock::now();
@@ -286,7 +295,17 @@
         return;
     }
     state.waitLoggedAt_ = now;
+    const auto inMilliseconds = [](BootTime::duration time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    };
+    const auto &plan = ready.job_->submission_.plan_;
+    const auto waited = inMilliseconds(now - state.waitingSince_);
+    const auto referenceTime = plan.occurrences_ == 0 ? ready.job_->submission_.acceptedAt_ : dueTime(plan, ready.rank_.occurrence_);
+    const auto lastRun = std::max_element(state.tasks_.begin(), state.tasks_.end(), [](const TaskState &left, const TaskState &right) {
+        return left.lastRun_ < right.lastRun_;
+    });
     const auto capacity = selector.summarizeCapacity(request);
+    const auto heldBy = selector.blockingPreferences(request);
     LogLine(LogSeverity::Info, "step_waits")
         .job(ready.job_->submission_.id_.value())
         .with("occurrence", ready.rank_.occurrence_)
@@ -295,14 +314,21 @@
         .with("tasks", request.count_)
         .with("gang", request.step_->gang_)
         .with("lateness", ready.rank_.lateness_)
-        .with("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - state.waitingSince_).count())
+        .with("waited_ms", waited)
+        .with("held_by", heldBy ? toString(*heldBy) : "no_room")
+        .with("prefers", request.prefersLocality() ? (request.step_->dataRack_.empty() ? "one_rack" : request.step_->dataRack_) : "any_worker")
+        .with("locality_ends_in_ms", request.prefersLocality() ? std::max<std::int64_t>(localityWait(ready).count() - waited, 0) : 0)
+        .with("expected_ms", expectedTime(*request.step_, runTimeRatioOf(ready.queue_->name_)).count())
+        .with("age_ms", (hooks_.wallNow_() - referenceTime).count())
+        .with("last_run", lastRun->lastRun_)
+        .with("leading_ms", inMilliseconds(now - schedulingSince_))
         .with("suitable", capacity.eligible_)
         .with("with_room", capacity.withFreeCapacity_)
         .with("reserved", capacity.reserved_)
         .with("idle", capacity.idle_)
         .with("quarantined", capacity.quarantined_)
         .with("avoided", request.avoidedWorkers_.size())
-        .with("last_resort", request.lastResort_)
+        .with("last_resort", request.waived_.contains(Preference::Quarantine))
         .with("within_guarantee", request.withinGuarantee_);
 }
 
@@ -371,6 +397,7 @@
     auto &job = *ready.job_;
     auto &state = job.occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
     const auto &plan = job.submission_.plan_.steps_[ready.rank_.step_];
+    const auto waited = state.waitingSince_ == BootTime{} ? BootTime::duration{} : BootClock::now() - state.waitingSince_;
     state.waitingSince_ = {};
     state.awaitedUntil_ = {};
     // All members of a gang share one run number.
@@ -405,6 +432,7 @@
         .with("ready", tasks.size())
         .with("first_worker", choice.workers_.front()->entry_.id_.value())
         .with("far", choice.remote_)
+        .with("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())
         .with("lateness", ready.rank_.lateness_)
         .with("config", hooks_.config_().version());
 }
--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -54,8 +54,10 @@
 
 auto WorkerSelector::eligible(const Candidate &candidate, const PlacementRequest &request) -> bool
 {
-    const auto allowed = request.lastResort_ ? !candidate.barred_ : !candidate.quarantined_;
-    return allowed && !request.avoidedWorkers_.contains(candidate.session_->entry_.id_) && matches(candidate, request);
+    const auto quarantineWaived = request.waived_.contains(Preference::Quarantine);
+    const auto allowed = quarantineWaived ? !candidate.barred_ : !candidate.quarantined_;
+    const auto avoided = !request.waived_.contains(Preference::Avoidance) && request.avoidedWorkers_.contains(candidate.session_->entry_.id_);
+    return allowed && !avoided && matches(candidate, request);
 }
 
 auto WorkerSelector::couldHoldUnquarantined(const PlacementRequest &request) -> bool
@@ -124,12 +126,13 @@
     // Best fit: workers with the fewest free accelerators come first, so that large tasks still find large free blocks.
     std::vector<std::pair<std::uint32_t, const Candidate *>> ranked;
     auto spareWorkers = idleWorkers_ > idleReserve_ ? idleWorkers_ - idleReserve_ : 0;
+    const auto keepsReservations = request.priority_ > 0 && !request.waived_.contains(Preference::Reservation);
+    const auto keepsIdleReserve = request.priority_ > 0 && !request.waived_.contains(Preference::IdleReserve);
     for (const auto *candidate : group) {
-        if (candidate->reserved_ && request.priority_ > 0) {
+        if (candidate->reserved_ && keepsReservations) {
             continue;
         }
-        // A last resort cannot wait for another worker to become idle.
-        if (request.priority_ > 0 && isIdle(*candidate) && !request.lastResort_) {
+        if (keepsIdleReserve && isIdle(*candidate)) {
             if (spareWorkers == 0) {
                 continue;
             }
@@ -247,6 +250,33 @@
     return false;
 }
 
+auto WorkerSelector::blockingPreferences(PlacementRequest request) -> std::optional<PreferenceSet>
+{
+    const auto kept = request.waived_;
+    PreferenceSet waived(AllPreferences);
+    const auto fits = [this, &request, &waived] {
+        request.waived_ = waived;
+        return findPlacement(request, !waived.contains(Preference::Locality)).has_value();
+    };
+    if (!fits()) {
+        return std::nullopt;
+    }
+    auto blocking = waived;
+    for (const auto preference : AllPreferences) {
+        if (kept.contains(preference)) {
+            blocking.remove(preference);
+            continue;
+        }
+        waived.remove(preference);
+        blocking.remove(preference);
+        if (!fits()) {
+            waived.add(preference);
+            blocking.add(preference);
+        }
+    }
+    return blocking;
+}
+
 auto WorkerSelector::acceleratorUtilization() const -> double
 {
     std::int64_t capacity = 0;
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -43,6 +43,10 @@
     /// Workers on which a blocked gang is expected to fit soonest when nothing else starts there; empty when there are none.
     [[nodiscard]] auto findReservation(const PlacementRequest &request, bool local) -> std::vector<WorkerSession *>;
 
+    /// A smallest set of preferences, beyond those that the request has given up, without which it would fit now; no set when it does not fit
+    /// at all.
+    [[nodiscard]] auto blockingPreferences(PlacementRequest request) -> std::optional<PreferenceSet>;
+
     /// Used share of the usable workers' accelerators, from 0 to 1.
     [[nodiscard]] auto acceleratorUtilization() const -> double;
 
--- a/tests/unit/test_failedrequests.cpp
+++ b/tests/unit/test_failedrequests.cpp
@@ -21,7 +21,7 @@
 
 auto makeRequest(const StepPlan &step) -> PlacementRequest
 {
-    return {&step, "pool", step.count_, 2, false, {}, false, {}};
+    return {&step, "pool", step.count_, 2, false, {}, {}, {}};
 }
 } // namespace
 
--- a/tests/unit/test_interventions.cpp
+++ b/tests/unit/test_interventions.cpp
@@ -277,7 +277,7 @@
     }
     WorkerSelector selector(sessions, {}, {}, 5s, now);
     auto submission = asGang(makeSubmission(FirstJob.value(), "batch", 2, SmallTask));
-    PlacementRequest request{&submission.plan_.steps_[0], "pool", 2, 1, false, {}, false, {}};
+    PlacementRequest request{&submission.plan_.steps_[0], "pool", 2, 1, false, {}, {}, {}};
 
     SECTION("a gang gets the rack whose workers made progress recently, although the other rack is fuller")
     {
