Advance the simulated clock of passcost past times without events

Cause: Schedule::run() moved its clock only with its steps. When a pass takes over 43 ms beside other load, the next one is due more than 100 ms later, which the loop of measure() never reached: it span without end (seen twice with 2,900 workers beside load, once with all sizes; a stack trace shows the loop). Change: run() ends at the end of its duration.

--- a/bench/passcost.cpp
+++ b/bench/passcost.cpp
@@ -36,11 +36,13 @@
 
     auto run(std::chrono::milliseconds duration) -> void
     {
-        for (const auto end = now_ + duration; !steps_.empty() && steps_.begin()->first <= end;) {
+        const auto end = now_ + duration;
+        while (!steps_.empty() && steps_.begin()->first <= end) {
             auto step = steps_.extract(steps_.begin());
             now_ = step.key();
             step.mapped()();
         }
+        now_ = end;
     }
 
 private:
