Keep an idle reserve for each pool of workers

Cause: the reserve was a share of the workers of all pools, compared with the idle workers of all pools. Beside a large pool without idle workers, a small pool kept its own: work other than urgent work waited, and a gang that needs the whole pool never started. Change: workers and idle workers are counted by pool, and a request draws from those of its own pool. Result: the new test case failed before: a task started after 1,525 ms on two idle workers beside a full pool of 54, and a gang of two had not started after 4 s. It passes now, with the other tests of dispatch.

--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -31,10 +31,24 @@
             const auto quarantined = session->quarantinedUntil_ > now;
             candidates_.push_back({session.get(), session->freeCapacity(), false, quarantined, quarantined && now - session->quarantinedAt_ < lastResortDelay});
             quarantined_ += quarantined ? 1 : 0;
-            idleWorkers_ += !quarantined && isIdle(candidates_.back()) ? 1 : 0;
+            if (!quarantined) {
+                auto &pool = pools_[session->entry_.pool_];
+                ++pool.workers_;
+                pool.idle_ += isIdle(candidates_.back()) ? 1 : 0;
+            }
         }
     }
-    idleReserve_ = static_cast<std::size_t>(static_cast<double>(candidates_.size() - quarantined_) * IdleReserveShare);
+}
+
+auto WorkerSelector::spareIdleWorkers(const std::string &pool) const -> std::size_t
+{
+    const auto found = pools_.find(pool);
+    if (found == pools_.end()) {
+        return 0;
+    }
+    const auto &[workers, idle] = found->second;
+    const auto reserve = static_cast<std::size_t>(static_cast<double>(workers) * IdleReserveShare);
+    return idle > reserve ? idle - reserve : 0;
 }
 
 auto WorkerSelector::takenAt() const -> BootTime
@@ -130,7 +144,7 @@
 {
     // Best fit: workers with the fewest free accelerators come first, so that large tasks still find large free blocks.
     std::vector<std::pair<std::uint32_t, const Candidate *>> ranked;
-    auto spareWorkers = idleWorkers_ > idleReserve_ ? idleWorkers_ - idleReserve_ : 0;
+    auto spareWorkers = spareIdleWorkers(request.pool_);
     const auto keepsReservations = request.priority_ > 0 && !request.waived_.contains(Preference::Reservation);
     const auto keepsIdleReserve = request.priority_ > 0 && !request.waived_.contains(Preference::IdleReserve);
     for (const auto *candidate : group) {
@@ -371,7 +385,9 @@
 auto WorkerSelector::allocate(WorkerSession &session, const ResourceVector &demand) -> void
 {
     if (auto *candidate = candidateOf(session); candidate != nullptr) {
-        idleWorkers_ -= !candidate->quarantined_ && isIdle(*candidate) ? 1 : 0;
+        if (!candidate->quarantined_ && isIdle(*candidate)) {
+            --pools_[session.entry_.pool_].idle_;
+        }
         candidate->free_ -= demand;
         if (!rackFree_.empty() && !candidate->quarantined_) {
             rackFree_[session.entry_.rack_.value()] -= demand.accelerators_;
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -90,6 +90,15 @@
         ResourceVector used_;
     };
 
+    /// Numbers of a pool's workers that are not quarantined.
+    struct PoolWorkers {
+        std::size_t workers_ = 0;
+        std::size_t idle_ = 0;
+    };
+
+    /// Number of a pool's idle workers beyond those that only urgent work may use.
+    [[nodiscard]] auto spareIdleWorkers(const std::string &pool) const -> std::size_t;
+
     /// True when less than half of the pool's least used resource is in use.
     [[nodiscard]] auto isUnderHalfUsed(const std::string &pool) -> bool;
 
@@ -150,9 +159,8 @@
     std::map<std::string_view, std::int64_t> rackFree_;
     /// Quarantined candidates.
     std::size_t quarantined_ = 0;
-    std::size_t idleWorkers_ = 0;
-    /// Number of idle workers that only urgent work may use.
-    std::size_t idleReserve_ = 0;
+    /// Each pool has its own reserve of idle workers.
+    std::map<std::string_view, PoolWorkers> pools_;
     BootTime now_;
 };
 } // namespace Marjoramfold
