Reserve workers for blocked gangs only in pools that are nearly full

Cause: the utilization above which workers are reserved was that of all pools together, so that a full pool led to reservations in one that was nearly empty. Change: the utilization is that of the pool of the request. Result: the new test case failed before: a task waited 1,525 ms for reserved workers, with four of the six workers of its pool idle, until the limit for preferences ended that. It passes now, with the other tests of dispatch.

--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -253,7 +253,7 @@
         }
     }
     const auto mayReserve = plan.gang_ && waited > ReservationDelay && ready.rank_.lateness_ < 2;
-    if (mayReserve && reservations < MaxGangReservations && selector.acceleratorUtilization() > MinReservationUtilization) {
+    if (mayReserve && reservations < MaxGangReservations && selector.acceleratorUtilization(request.pool_) > MinReservationUtilization) {
         ++reservations;
         for (auto *session : selector.findReservation(request, couldFitLocally)) {
             selector.reserve(*session);
--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -335,12 +335,12 @@
         || isUnderHalf(used.accelerators_, capacity.accelerators_);
 }
 
-auto WorkerSelector::acceleratorUtilization() const -> double
+auto WorkerSelector::acceleratorUtilization(const std::string &pool) const -> double
 {
     std::int64_t capacity = 0;
     std::int64_t free = 0;
     for (const auto &candidate : candidates_) {
-        if (candidate.quarantined_) {
+        if (candidate.quarantined_ || candidate.session_->entry_.pool_ != pool) {
             continue;
         }
         capacity += candidate.session_->entry_.capacity_.accelerators_;
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -54,8 +54,8 @@
     /// A service's tasks have to run however much is in use.
     [[nodiscard]] auto isHeldBack(const PlacementRequest &request) -> bool;
 
-    /// Used share of the usable workers' accelerators, from 0 to 1.
-    [[nodiscard]] auto acceleratorUtilization() const -> double;
+    /// Used share of the accelerators of a pool's usable workers, from 0 to 1.
+    [[nodiscard]] auto acceleratorUtilization(const std::string &pool) const -> double;
 
     /// Counts the workers that match the request.
     [[nodiscard]] auto summarizeCapacity(const PlacementRequest &request) const -> CapacitySummary;
--- a/tests/unit/test_heldpools.cpp
+++ b/tests/unit/test_heldpools.cpp
@@ -86,3 +86,37 @@
     CHECK(fleet.phaseOf(FirstId) == JobPhase::Completed);
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
+
+TEST_CASE("the workers of a pool that is nearly empty are not reserved because another pool is full", "[dispatch][held]")
+{
+    // Guards against work that waits for blocked gangs although most of its pool is free.
+    constexpr unsigned SmallRack = 3;
+    SimulatedFleet fleet;
+    fleet.addWorkers(SmallRack, "zone-1", "r1-1");
+    fleet.addWorkers(SmallRack, "zone-2", "r2-1");
+    addFullPool(fleet);
+    // One small task in each rack keeps a gang of three whole workers from it.
+    for (const std::string rack : {"1", "2"}) {
+        auto small = makeSubmission("00000000000000b" + rack, "batch", 1, SmallTask);
+        small.plan_.steps_[0].dataRack_ = "r" + rack + "-1";
+        small.plan_.steps_[0].estimate_ = 120s;
+        fleet.submit(small);
+        auto gang = asGang(makeSubmission("00000000000000c" + rack, "batch", SmallRack, WholeWorkerTask));
+        gang.plan_.steps_[0].dataRack_ = "r" + rack + "-1";
+        gang.plan_.steps_[0].estimate_ = 33s;
+        fleet.advance(200ms);
+        fleet.submit(gang);
+    }
+    fleet.advance(2s);
+    REQUIRE(fleet.starts_[JobId("00000000000000c1")].empty());
+    REQUIRE(fleet.starts_[JobId("00000000000000c2")].empty());
+
+    // Its objective ends after those of the gangs, so it ranks below them.
+    const auto submittedAt = fleet.now();
+    auto task = makeSubmission(FirstId.value(), "batch", 1, WholeWorkerTask);
+    task.plan_.steps_[0].estimate_ = 60s;
+    fleet.submit(task);
+    fleet.advance(4s);
+    CHECK(timeToStart(fleet, FirstId, submittedAt) < PromptStart);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
