Leave the runs of lost workers out of the use of a pool

Cause: whether a pool is under half used was computed from all listed workers. The runs of a lost worker count until their leases have expired, so that a pool which had lost part of its workers looked full, and preferences had no limit for as long. Change: a pool is under half used if that holds for all listed workers or for those that respond. Result: the new test case failed before: with 12 of 30 workers lost and three busy, a gang of six had not started after 6 s. It passes now, with the other tests of dispatch.

--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -321,18 +321,23 @@
     if (poolUse_.empty()) {
         for (const auto &[id, session] : sessions_) {
             if (session->listed_) {
-                auto &use = poolUse_[session->entry_.pool_];
-                use.capacity_ += session->entry_.capacity_;
-                use.used_ += session->used_;
+                auto &pools = poolUse_[session->entry_.pool_];
+                pools.listed_.add(*session);
+                if (session->unreachableSince_ == BootTime{}) {
+                    pools.reachable_.add(*session);
+                }
             }
         }
     }
     const auto isUnderHalf = [](std::int64_t used, std::int64_t capacity) {
         return 2 * used < capacity;
     };
-    const auto &[capacity, used] = poolUse_[pool];
-    return isUnderHalf(used.milliCores_, capacity.milliCores_) || isUnderHalf(used.memoryMb_, capacity.memoryMb_)
-        || isUnderHalf(used.accelerators_, capacity.accelerators_);
+    const auto leavesHalf = [&isUnderHalf](const ResourceUse &use) {
+        return isUnderHalf(use.used_.milliCores_, use.capacity_.milliCores_) || isUnderHalf(use.used_.memoryMb_, use.capacity_.memoryMb_)
+            || isUnderHalf(use.used_.accelerators_, use.capacity_.accelerators_);
+    };
+    const auto &use = poolUse_[pool];
+    return leavesHalf(use.listed_) || leavesHalf(use.reachable_);
 }
 
 auto WorkerSelector::acceleratorUtilization(const std::string &pool) const -> double
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -84,10 +84,22 @@
 
     using Group = std::vector<Candidate *>;
 
-    /// Resources of a pool's listed workers.
-    struct PoolUse {
+    /// Resources of several workers.
+    struct ResourceUse {
         ResourceVector capacity_;
         ResourceVector used_;
+
+        auto add(const WorkerSession &session) -> void
+        {
+            capacity_ += session.entry_.capacity_;
+            used_ += session.used_;
+        }
+    };
+
+    /// Resources of a pool. A worker that was lost may have no run left, although its runs count until their leases have expired.
+    struct PoolUse {
+        ResourceUse listed_;
+        ResourceUse reachable_;
     };
 
     /// Numbers of a pool's workers that are not quarantined.
@@ -99,7 +111,7 @@
     /// Number of a pool's idle workers beyond those that only urgent work may use.
     [[nodiscard]] auto spareIdleWorkers(const std::string &pool) const -> std::size_t;
 
-    /// True when less than half of the pool's least used resource is in use.
+    /// True when less than half of the pool's least used resource is in use, of all workers or of those that respond.
     [[nodiscard]] auto isUnderHalfUsed(const std::string &pool) -> bool;
 
     /// Cost of removing a run; empty when the run must stay.
--- a/tests/unit/test_heldpools.cpp
+++ b/tests/unit/test_heldpools.cpp
@@ -16,9 +16,15 @@
 {
 const JobId FirstId("00000000000000a1");
 
+/// Longest time for which a job may have nothing running while there is room for it twice over and the service is under half used.
+constexpr std::chrono::milliseconds MaxTimeWithoutRun{3000};
+
 /// Time in which a task starts that no preference concerns.
 constexpr std::chrono::milliseconds PromptStart{500};
 
+/// A task that needs all resources of a worker.
+constexpr ResourceVector FullWorkerTask{128'000, 524'288, 8};
+
 constexpr unsigned LargePoolRacks = 9;
 constexpr unsigned WorkersPerRack = 6;
 
@@ -120,3 +126,78 @@
     CHECK(timeToStart(fleet, FirstId, submittedAt) < PromptStart);
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
+
+TEST_CASE("a start that fails does not begin the wait for other workers anew", "[dispatch][held]")
+{
+    // Guards against a limit for preferences that a run which never began resets.
+    SimulatedFleet fleet;
+    fleet.addWorkers(WorkersPerRack, "zone-1", "r1-1");
+    fleet.addWorkers(WorkersPerRack, "zone-2", "r2-1");
+    fleet.addWorkers(WorkersPerRack, "zone-3", "r3-1");
+    fleet.addWorkers(WorkersPerRack, "zone-4", "r4-1");
+    fleet.work_ = [](const TaskRef &task) {
+        return isBackground(task) ? 120'000ms : 2'000ms;
+    };
+    fleet.startLeader();
+    auto rack = makeSubmission("00000000000000b0", "batch", WorkersPerRack, WholeWorkerTask);
+    rack.plan_.steps_[0].dataRack_ = "r1-1";
+    rack.plan_.steps_[0].estimate_ = 120s;
+    fleet.submit(rack);
+    fleet.advance(200ms);
+    REQUIRE(fleet.runningTasks() == WorkersPerRack);
+    // The processes of idle workers end, which only the next command to them shows.
+    for (const auto *id : {"w-r2-1-0", "w-r2-1-1"}) {
+        fleet.worker(WorkerId(id)).refusesConnections_ = true;
+    }
+    const auto submittedAt = fleet.now();
+    auto job = makeSubmission(FirstId.value(), "batch", 1, WholeWorkerTask);
+    job.plan_.steps_[0].dataRack_ = "r1-1";
+    job.plan_.steps_[0].estimate_ = 33s;
+    fleet.submit(job);
+    fleet.advance(6s);
+    CHECK(fleet.worker(WorkerId("w-r2-1-0")).refusedStarts_ == 1);
+    CHECK(fleet.worker(WorkerId("w-r2-1-1")).refusedStarts_ == 1);
+    CHECK(timeToStart(fleet, FirstId, submittedAt) < MaxTimeWithoutRun);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
+
+TEST_CASE("the runs of lost workers do not make a service look full", "[dispatch][held]")
+{
+    // Guards against preferences without a limit until the leases of runs have expired whose workers are gone.
+    constexpr unsigned SoundRacks = 3;
+    SimulatedFleet fleet;
+    fleet.addWorkers(2 * WorkersPerRack, "zone-1", "r1-1");
+    for (unsigned rack = 0; rack < SoundRacks; ++rack) {
+        fleet.addWorkers(WorkersPerRack, "zone-2", "r2-" + std::to_string(rack));
+    }
+    fleet.work_ = [](const TaskRef &task) {
+        return isBackground(task) ? 120'000ms : 2'000ms;
+    };
+    fleet.startLeader();
+    const auto occupy = [&fleet](const std::string &id, unsigned count, const std::string &rack) {
+        auto job = makeSubmission(id, "batch", count, FullWorkerTask);
+        job.plan_.steps_[0].dataRack_ = rack;
+        job.plan_.steps_[0].estimate_ = 120s;
+        fleet.submit(job);
+    };
+    for (unsigned rack = 0; rack < SoundRacks; ++rack) {
+        occupy("00000000000000b" + std::to_string(rack), 1, "r2-" + std::to_string(rack));
+    }
+    occupy("00000000000000bf", 2 * WorkersPerRack, "r1-1");
+    fleet.advance(500ms);
+    REQUIRE(fleet.runningTasks() == 2 * WorkersPerRack + SoundRacks);
+    for (unsigned i = 0; i < 2 * WorkersPerRack; ++i) {
+        auto &worker = fleet.worker(WorkerId("w-r1-1-" + std::to_string(i)));
+        worker.reachable_ = false;
+        worker.runs_.clear();
+    }
+    fleet.advance(1500ms);
+
+    const auto submittedAt = fleet.now();
+    auto gang = asGang(makeSubmission(FirstId.value(), "batch", WorkersPerRack, FullWorkerTask));
+    gang.plan_.steps_[0].estimate_ = 33s;
+    fleet.submit(gang);
+    fleet.advance(6s);
+    CHECK(timeToStart(fleet, FirstId, submittedAt) < MaxTimeWithoutRun);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
