Test that a lasting task is restarted on the last idle workers

The limit for preferences changes that, but no test showed it for a lasting task, whose service may be full. Change: a test case with 70 workers of which four are idle: one task loses its worker, two do, or leaders follow one another meanwhile.

--- a/tests/unit/test_heldpools.cpp
+++ b/tests/unit/test_heldpools.cpp
@@ -18,6 +18,8 @@
 
 /// Longest time for which a job may have nothing running while there is room for it twice over and the service is under half used.
 constexpr std::chrono::milliseconds MaxTimeWithoutRun{3000};
+/// Longest time for which a lasting task may not run while there is room for it twice over.
+constexpr std::chrono::milliseconds MaxTimeWithoutLastingRun{9000};
 
 /// Time in which a task starts that no preference concerns.
 constexpr std::chrono::milliseconds PromptStart{500};
@@ -201,3 +203,76 @@
     CHECK(timeToStart(fleet, FirstId, submittedAt) < MaxTimeWithoutRun);
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
+
+TEST_CASE("a lasting task that lost its worker is restarted on the last idle workers of a full service", "[dispatch][held]")
+{
+    // A lasting task has to run again however full the service is.
+    constexpr unsigned Workers = 70;
+    constexpr unsigned IdleWorkers = 4;
+    SimulatedFleet fleet;
+    fleet.addWorkers(Workers, "zone-1", "r1-1");
+    fleet.work_ = [](const TaskRef &) {
+        return 120'000ms;
+    };
+    fleet.startLeader();
+    constexpr unsigned LastingTasks = 3;
+    auto lasting = makeSubmission(FirstId.value(), "batch", LastingTasks, WholeWorkerTask);
+    lasting.plan_.steps_[0].service_ = true;
+    fleet.submit(lasting);
+    fleet.advance(100ms);
+    REQUIRE(fleet.runningTasks() == LastingTasks);
+    auto others = makeSubmission("00000000000000b0", "batch", Workers - LastingTasks - IdleWorkers, WholeWorkerTask);
+    others.plan_.steps_[0].estimate_ = 120s;
+    fleet.submit(others);
+    fleet.advance(500ms);
+    REQUIRE(fleet.runningTasks() == Workers - IdleWorkers);
+    std::vector<WorkerId> hosts;
+    for (const auto &id : fleet.workerIds()) {
+        const auto &runs = fleet.worker(id).runs_;
+        if (!runs.empty() && runs.begin()->first.job_ == FirstId) {
+            hosts.push_back(id);
+        }
+    }
+    REQUIRE(hosts.size() == LastingTasks);
+    const auto lose = [&fleet](const WorkerId &id) {
+        fleet.worker(id).reachable_ = false;
+        fleet.worker(id).runs_.clear();
+    };
+    const auto &starts = fleet.starts_[FirstId];
+
+    SECTION("while the other tasks of its job run")
+    {
+        const auto lostAt = fleet.now();
+        lose(hosts[0]);
+        fleet.advance(12s);
+        REQUIRE(starts.size() == LastingTasks + 1);
+        CHECK(starts[LastingTasks].second - lostAt < MaxTimeWithoutLastingRun);
+    }
+
+    SECTION("while another task of its job waits too")
+    {
+        const auto firstLostAt = fleet.now();
+        lose(hosts[0]);
+        fleet.advance(1s);
+        const auto secondLostAt = fleet.now();
+        lose(hosts[1]);
+        fleet.advance(12s);
+        REQUIRE(starts.size() == LastingTasks + 2);
+        CHECK(starts[LastingTasks].second - firstLostAt < MaxTimeWithoutLastingRun);
+        CHECK(starts[LastingTasks + 1].second - secondLostAt < MaxTimeWithoutLastingRun);
+    }
+
+    SECTION("while leaders follow one another")
+    {
+        const auto lostAt = fleet.now();
+        lose(hosts[0]);
+        fleet.advance(6500ms);
+        fleet.startLeader();
+        fleet.advance(800ms);
+        fleet.startLeader();
+        fleet.advance(10s);
+        REQUIRE(starts.size() == LastingTasks + 1);
+        CHECK(starts[LastingTasks].second - lostAt < MaxTimeWithoutLastingRun);
+    }
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
