Limit how long a step avoids workers that have room for it

Cause: a task avoids a worker for 2 s after a failure there, then for 4 s and 5 s. A job whose only suitable worker has room for its task several times had nothing running for longer than 3 s after its second failure. The limit for preferences left avoided workers out. Change: after 2.4 s of held time, avoided workers may be used as well. A step that is not held back, since there is not room for it twice over or the service is half used, avoids workers for as long as before.

--- a/marjoramfold/dispatch/dispatchoptions.h
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -34,9 +34,10 @@
     std::chrono::milliseconds maxStopTime_{900};
     /// Locality, the idle reserve, reservations and quarantine together keep a job with nothing running for this long at most from workers that
     /// could take it, while its service has much room. A job may have nothing running for 3 s; the rest of that time is for a leader that falls
-    /// silent and for a start command without an answer. Workers that failed the task or several jobs some seconds ago stay excluded, so that
-    /// a fault does not use up the task's attempts; that time counts here.
+    /// silent and for a start command without an answer.
     std::chrono::milliseconds maxHeldTime_{1500};
+    /// The same for workers that failed the task some seconds ago. Longer, so that a fault does not use up the task's attempts so soon.
+    std::chrono::milliseconds maxHeldTimeByFailures_{2400};
     /// A new leader gives up preferences only after this time, so that most workers have reported.
     std::chrono::milliseconds leaderSettleTime_{300};
     /// Guaranteed work must start within this time after its acceptance.
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -217,7 +217,11 @@
     }
     const auto settled = now - schedulingSince_ >= options_.leaderSettleTime_;
     if (held && settled && state.held_.expectedTotal() >= options_.maxHeldTime_) {
-        if (auto choice = findPlacementWithoutPreferences(selector, request); choice) {
+        auto relaxed = request;
+        if (state.held_.expectedTotal() >= options_.maxHeldTimeByFailures_) {
+            relaxed.waived_.add(Preference::Avoidance);
+        }
+        if (auto choice = findPlacementWithoutPreferences(selector, relaxed); choice) {
             return choice;
         }
     }
--- a/tests/unit/test_heldpools.cpp
+++ b/tests/unit/test_heldpools.cpp
@@ -276,3 +276,24 @@
     }
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
+
+TEST_CASE("a task that failed twice on a worker with much room is not kept from it for too long", "[dispatch][held]")
+{
+    // Guards against a job with nothing running beside the only worker with its label, which has room for it several times.
+    SimulatedFleet fleet;
+    addTwoRacks(fleet);
+    fleet.worker(WorkerId("w-r1-1-0")).entry_.labels_[0] = "b";
+    fleet.startLeader();
+    fleet.fails_ = [&fleet](const TaskRef &) {
+        return fleet.starts_[FirstId].size() <= 2;
+    };
+    auto job = makeSubmission(FirstId.value(), "batch", 1, SmallTask);
+    job.plan_.steps_[0].requiredLabel_ = "b";
+    fleet.submit(job);
+    fleet.advance(14s);
+    const auto &starts = fleet.starts_[FirstId];
+    REQUIRE(starts.size() == 3);
+    CHECK(starts[2].second - (starts[1].second + DefaultWork) < MaxTimeWithoutRun);
+    CHECK(fleet.phaseOf(FirstId) == JobPhase::Completed);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
