Limit how long barred workers are kept from work that no other worker can take

Cause: a quarantined worker gets no work at all for 5 s after its last failure. Quick failures of one faulty job on both workers of a small pool kept the jobs of others from them for as long. Change: a step that may use avoided workers may use barred ones too.

--- a/marjoramfold/dispatch/dispatchoptions.h
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -36,7 +36,7 @@
     /// could take it, while its service has much room. A job may have nothing running for 3 s; the rest of that time is for a leader that falls
     /// silent and for a start command without an answer.
     std::chrono::milliseconds maxHeldTime_{1500};
-    /// The same for workers that failed the task some seconds ago. Longer, so that a fault does not use up the task's attempts so soon.
+    /// The same for workers that failed the task, or several jobs, some seconds ago. Longer, so that a fault does not use up the task's attempts so soon.
     std::chrono::milliseconds maxHeldTimeByFailures_{2400};
     /// A new leader gives up preferences only after this time, so that most workers have reported.
     std::chrono::milliseconds leaderSettleTime_{300};
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -199,8 +199,9 @@
     [[nodiscard]] auto isHeldBack(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request) const -> bool;
     /// True when a run of the job is on a worker that responds.
     [[nodiscard]] auto hasReachableRun(const TrackedJob &job) const -> bool;
-    /// Placement for a step that preferences have kept waiting for too long. Avoidance is up to the caller.
-    [[nodiscard]] static auto findPlacementWithoutPreferences(WorkerSelector &selector, PlacementRequest request) -> std::optional<PlacementDecision>;
+    /// Placement for a step that preferences have kept waiting for too long. `givenUp` has those to give up besides the usual ones.
+    [[nodiscard]] static auto findPlacementWithoutPreferences(WorkerSelector &selector, PlacementRequest request, PreferenceSet givenUp)
+        -> std::optional<PlacementDecision>;
     /// Assumes that a former leader has kept each ready step waiting for as long as preferences may. The acceptance of its job does not tell
     /// how long, since the clocks of instances differ.
     auto assumeFormerWaits() -> void;
--- a/marjoramfold/dispatch/heldwork.cpp
+++ b/marjoramfold/dispatch/heldwork.cpp
@@ -61,16 +61,18 @@
     return selector.isHeldBack(request) && (request.step_->service_ || !hasReachableRun(*ready.job_));
 }
 
-auto FleetScheduler::findPlacementWithoutPreferences(WorkerSelector &selector, PlacementRequest request) -> std::optional<PlacementDecision>
+auto FleetScheduler::findPlacementWithoutPreferences(WorkerSelector &selector, PlacementRequest request, PreferenceSet givenUp)
+    -> std::optional<PlacementDecision>
 {
-    const auto kept = request.waived_;
+    const auto before = request.waived_;
     // One task is enough for a job to have something running; the others may still find better workers.
     if (!request.step_->gang_ && !request.step_->service_) {
         request.count_ = 1;
     }
     const auto prefersLocality = request.prefersLocality();
-    request.waived_.add(Preference::IdleReserve);
-    request.waived_.add(Preference::Reservation);
+    givenUp.add(Preference::IdleReserve);
+    givenUp.add(Preference::Reservation);
+    request.waived_.add(givenUp);
     auto choice = selector.findPlacement(request, true);
     if (!choice && prefersLocality) {
         choice = selector.findPlacement(request, false);
@@ -80,12 +82,7 @@
         choice = selector.findPlacement(request, !prefersLocality);
     }
     if (choice) {
-        choice->givenUp_ = request.waived_;
-        for (const auto preference : AllPreferences) {
-            if (kept.contains(preference)) {
-                choice->givenUp_.remove(preference);
-            }
-        }
+        choice->givenUp_ = request.waived_.without(before);
         if (choice->remote_) {
             choice->givenUp_.add(Preference::Locality);
         }
--- a/marjoramfold/dispatch/preferences.h
+++ b/marjoramfold/dispatch/preferences.h
@@ -50,6 +50,18 @@
         bits_ |= bitOf(preference);
     }
 
+    constexpr auto add(PreferenceSet preferences) -> void
+    {
+        bits_ |= preferences.bits_;
+    }
+
+    [[nodiscard]] constexpr auto without(PreferenceSet preferences) const -> PreferenceSet
+    {
+        auto rest = *this;
+        rest.bits_ &= ~preferences.bits_;
+        return rest;
+    }
+
     constexpr auto remove(Preference preference) -> void
     {
         bits_ &= ~bitOf(preference);
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -217,11 +217,11 @@
     }
     const auto settled = now - schedulingSince_ >= options_.leaderSettleTime_;
     if (held && settled && state.held_.expectedTotal() >= options_.maxHeldTime_) {
-        auto relaxed = request;
+        PreferenceSet givenUp;
         if (state.held_.expectedTotal() >= options_.maxHeldTimeByFailures_) {
-            relaxed.waived_.add(Preference::Avoidance);
+            givenUp = {Preference::Avoidance, Preference::RecentFailure};
         }
-        if (auto choice = findPlacementWithoutPreferences(selector, relaxed); choice) {
+        if (auto choice = findPlacementWithoutPreferences(selector, request, givenUp); choice) {
             return choice;
         }
     }
--- a/tests/unit/test_heldpools.cpp
+++ b/tests/unit/test_heldpools.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 const JobId FirstId("00000000000000a1");
+const JobId SecondId("00000000000000a2");
 
 /// Longest time for which a job may have nothing running while there is room for it twice over and the service is under half used.
 constexpr std::chrono::milliseconds MaxTimeWithoutRun{3000};
@@ -297,3 +298,27 @@
     CHECK(fleet.phaseOf(FirstId) == JobPhase::Completed);
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
+
+TEST_CASE("work does not wait for the end of a quarantine beside idle workers for too long", "[dispatch][held]")
+{
+    // Guards against a faulty job whose quick failures keep all workers of a small pool from the jobs of others.
+    SimulatedFleet fleet;
+    fleet.addWorkers(2, "zone-1", "r1-1");
+    fleet.startLeader();
+    fleet.work_ = [](const TaskRef &task) {
+        return task.job_ == FirstId ? 200ms : 2'000ms;
+    };
+    fleet.fails_ = [](const TaskRef &task) {
+        return task.job_ == FirstId;
+    };
+    auto faulty = makeSubmission(FirstId.value(), "batch", 1, WholeWorkerTask);
+    faulty.plan_.steps_[0].estimate_ = 6s;
+    fleet.submit(faulty);
+    fleet.advance(1s);
+    REQUIRE(fleet.starts_[FirstId].size() == 2);
+    const auto submittedAt = fleet.now();
+    fleet.submit(makeSubmission(SecondId.value(), "batch", 1, WholeWorkerTask));
+    fleet.advance(8s);
+    CHECK(timeToStart(fleet, SecondId, submittedAt) < MaxTimeWithoutRun);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
