Reproduce a task that is offered to one worker without end

Cause: a start command that a worker refuses ends the run, and the next pass places the task on the same worker, which is still the best fit. A refusal is no failure of the task, and quarantines the worker only if the worker is busy for two jobs.

--- a/tests/unit/test_heldpools.cpp
+++ b/tests/unit/test_heldpools.cpp
@@ -322,3 +322,19 @@
     CHECK(timeToStart(fleet, SecondId, submittedAt) < MaxTimeWithoutRun);
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
+
+TEST_CASE("a task is not offered again and again to a worker that refuses it", "[dispatch][held]")
+{
+    // Guards against a job with nothing running beside idle workers, because its placement stays the same after each refusal.
+    SimulatedFleet fleet;
+    addTwoRacks(fleet);
+    fleet.advance(100ms);
+    constexpr std::uint32_t NewerRun = 1'000;
+    fleet.worker(WorkerId("w-r1-1-0")).highestRun_[{FirstId, 0, 0, 0}] = NewerRun;
+    const auto submittedAt = fleet.now();
+    fleet.submit(makeSubmission(FirstId.value(), "batch", 1, WholeWorkerTask));
+    fleet.advance(6s);
+    CHECK(timeToStart(fleet, FirstId, submittedAt) < MaxTimeWithoutRun);
+    CHECK(fleet.phaseOf(FirstId) == JobPhase::Completed);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
