--- a/marjoramfold/dispatch/heldwork.cpp
+++ b/marjoramfold/dispatch/heldwork.cpp
@@ -64,7 +64,7 @@
 auto FleetScheduler::findPlacementWithoutPreferences(WorkerSelector &selector, PlacementRequest request, PreferenceSet givenUp)
     -> std::optional<PlacementDecision>
 {
-    const auto before = request.waived_;
+    const auto blocking = selector.blockingPreferences(request);
     // One task is enough for a job to have something running; the others may still find better workers.
     if (!request.step_->gang_ && !request.step_->service_) {
         request.count_ = 1;
@@ -82,10 +82,7 @@
         choice = selector.findPlacement(request, !prefersLocality);
     }
     if (choice) {
-        choice->givenUp_ = request.waived_.without(before);
-        if (choice->remote_) {
-            choice->givenUp_.add(Preference::Locality);
-        }
+        choice->givenUp_ = blocking.value_or(givenUp);
     }
     return choice;
 }
--- a/marjoramfold/dispatch/placementrequest.h
+++ b/marjoramfold/dispatch/placementrequest.h
@@ -67,7 +67,7 @@
     bool remote_ = false;
     /// Runs that must stop first, with their workers; empty when the capacity is free now.
     std::vector<std::pair<WorkerSession *, RunKey>> victims_;
-    /// Preferences that were given up, because they had kept the step waiting for too long.
+    /// The preferences that had kept the step waiting for too long and were given up.
     PreferenceSet givenUp_{};
 };
 
--- a/marjoramfold/dispatch/preferences.h
+++ b/marjoramfold/dispatch/preferences.h
@@ -55,13 +55,6 @@
         bits_ |= preferences.bits_;
     }
 
-    [[nodiscard]] constexpr auto without(PreferenceSet preferences) const -> PreferenceSet
-    {
-        auto rest = *this;
-        rest.bits_ &= ~preferences.bits_;
-        return rest;
-    }
-
     constexpr auto remove(Preference preference) -> void
     {
         bits_ &= ~bitOf(preference);
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -39,6 +40,8 @@
     std::string folder_;
     unsigned instances_ = 4;
     unsigned workers_ = 8;
+    /// Racks over which the workers are spread; half of them are in each availability zone.
+    unsigned racks_ = 2;
     std::chrono::milliseconds faultTime_{12'000};
     /// Time to complete the work after the faults end: a change of leader, the expiry of all leases, and the work itself.
     std::chrono::milliseconds settleTime_{40'000};
@@ -50,6 +53,8 @@
     /// Workers that restart with less capacity accept commands before their new entry is written. The platform's contract gives a leader
     /// no complete protection against this.
     bool unnoticedKindChanges_ = false;
+    /// Time from the end of an instance's process to its restart. With none, a killed leader is back before its silence is noticed.
+    std::chrono::milliseconds restartDelay_{0};
     /// Streams of submissions and of state queries.
     unsigned callers_ = 1;
 };
@@ -66,6 +71,21 @@
     /// Runs to the end and returns the violations.
     auto run() -> std::vector<std::string>;
 
+    /// Starts the store, the workers and the instances, without jobs or faults.
+    auto start() -> void;
+    /// Runs until the condition holds; false if it does not within the time.
+    auto runUntil(const std::function<bool()> &condition, std::chrono::milliseconds time) -> bool;
+    auto submitJob(const SoakJob &job) -> void;
+    /// Asks for the state of a random open job at intervals.
+    auto queryState() -> void;
+    auto killLeader() -> void;
+    [[nodiscard]] auto job(const std::string &id) -> const SoakJob &;
+    /// Number of workers in each rack that run tasks.
+    [[nodiscard]] auto busyWorkersByRack() const -> std::map<std::string, std::size_t>;
+    [[nodiscard]] auto violations() const -> const std::vector<std::string> &;
+    /// Name of the rack with this number.
+    [[nodiscard]] static auto rackName(unsigned rack) -> std::string;
+
 private:
     struct Instance {
         std::string name_;
@@ -74,6 +94,7 @@
         std::string readinessAddress_;
         std::string metricsAddress_;
         std::unique_ptr<TcpRoute> storeRoute_;
+        /// Zero before the first start and while the instance is down.
         pid_t process_ = 0;
         bool terminating_ = false;
         Clock::time_point terminatedAt_;
@@ -98,6 +119,7 @@
     auto makeInstances() -> void;
     auto startProcess(Instance &instance) -> void;
     auto restartEndedProcesses() -> void;
+    auto restartAfterDelay(std::size_t index) -> void;
     /// Checks that an instance ends within its grace period, although callers keep connections open.
     auto checkShutdown(Instance &instance) -> void;
     auto publishWorkers() -> void;
@@ -105,7 +127,6 @@
     auto publishConfig() -> void;
     auto submitNextJob() -> void;
     auto submit(const std::string &id, int attemptsLeft) -> void;
-    auto queryState() -> void;
     auto cancelRandomJob() -> void;
     auto call(const std::string &method, const std::string &id, const std::string &body, std::function<void(int, const std::string &)> done) -> void;
     auto injectFault() -> void;
@@ -130,7 +151,6 @@
     [[nodiscard]] auto workerAddress(const Worker &worker) const -> std::string;
     /// Injects faults of workers only, in quick succession.
     auto injectWorkerFaults(const std::function<void()> &injectOne) -> void;
-    auto killLeader() -> void;
     auto endFaults() -> void;
     [[nodiscard]] auto allJobsDone() -> bool;
     auto runAfter(std::chrono::milliseconds delay, std::function<void()> step) -> void;
