Leave a step's own reservation out of the reason why it waits

Cause: a blocked gang reserved workers before its step_waits line was written, so that held_by named its own reservation beside other preferences. Change: the line is written first, then workers are reserved.

--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -209,8 +209,9 @@
     auto resetHeldTime(TrackedJob &job, const TaskRef &begun) -> void;
     /// True when the task's run was accepted by a worker that responds.
     [[nodiscard]] auto isRunning(const TaskRef &ref, const TaskState &task) const -> bool;
-    [[nodiscard]] auto choosePlacement(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request, unsigned &reservations)
-        -> std::optional<PlacementDecision>;
+    [[nodiscard]] auto choosePlacement(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request) -> std::optional<PlacementDecision>;
+    /// Reserves workers for a gang that has waited in a busy pool.
+    auto reserveWorkers(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request, unsigned &reservations) -> void;
     /// Keeps capacity for a step whose preempted runs are still being stopped; false when there are none.
     auto holdAwaitedWorkers(WorkerSelector &selector, const ReadyStep &ready) -> bool;
     auto logWaitingStep(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request) -> void;
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -199,10 +199,8 @@
     return request;
 }
 
-auto FleetScheduler::choosePlacement(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request, unsigned &reservations)
-    -> std::optional<PlacementDecision>
+auto FleetScheduler::choosePlacement(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request) -> std::optional<PlacementDecision>
 {
-    const auto &plan = *request.step_;
     const auto prefersLocality = request.prefersLocality();
     const auto urgent = ready.queue_->priority_ == 0;
     auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
@@ -256,22 +254,32 @@
             }
         }
     }
-    const auto mayReserve = plan.gang_ && waited > ReservationDelay && ready.rank_.lateness_ < 2;
-    if (mayReserve && reservations < MaxGangReservations && selector.acceleratorUtilization(request.pool_) > MinReservationUtilization) {
+    return std::nullopt;
+}
+
+auto FleetScheduler::reserveWorkers(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request, unsigned &reservations) -> void
+{
+    const auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
+    const auto now = BootClock::now();
+    const auto waits = state.waitingSince_ != BootTime{} && now - state.waitingSince_ > ReservationDelay && state.awaitedUntil_ <= now;
+    const auto mayReserve = request.step_->gang_ && waits && ready.rank_.lateness_ < 2 && reservations < MaxGangReservations;
+    if (mayReserve && selector.acceleratorUtilization(request.pool_) > MinReservationUtilization) {
         ++reservations;
+        const auto couldFitLocally = !request.prefersLocality() || selector.couldFitLocally(request);
         for (auto *session : selector.findReservation(request, couldFitLocally)) {
             selector.reserve(*session);
         }
     }
-    return std::nullopt;
 }
 
 auto FleetScheduler::placeTasks(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, unsigned &reservations) -> void
 {
     const auto request = makeRequest(selector, ready, tasks);
-    const auto choice = choosePlacement(selector, ready, request, reservations);
+    const auto choice = choosePlacement(selector, ready, request);
     if (!choice) {
+        // The line must not name the step's own reservation.
         logWaitingStep(selector, ready, request);
+        reserveWorkers(selector, ready, request, reservations);
         return;
     }
     if (!choice->victims_.empty()) {
