Do not count a run as time for which its step was held back

Cause: the held time of a step was reset at the begin of a run only if it was above zero. A step that one pass had found held back, and the next one placed, kept the mark; after its run the time since that pass counted as held, and preferences were given up at once. Change: the mark is reset too; and a run of a task that the job does not have resets nothing.

--- a/marjoramfold/dispatch/heldwork.cpp
+++ b/marjoramfold/dispatch/heldwork.cpp
@@ -100,7 +100,8 @@
         }
         return true;
     };
-    if (step.held_.total() > std::chrono::milliseconds(0) && ((!plan.gang_ && !plan.service_) || runsEverywhere())) {
+    const auto counts = step.held_.isHeld() || step.held_.total() > std::chrono::milliseconds(0);
+    if (counts && ((!plan.gang_ && !plan.service_) || runsEverywhere())) {
         step.held_ = {};
     }
 }
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -67,7 +67,7 @@
     /// When the step first failed to fit since its last start; zero when it is not waiting.
     BootTime waitingSince_{};
     BootTime waitLoggedAt_{};
-    /// Time for which preferences have kept the step from workers since all of its tasks were last placed. Not stored.
+    /// Time for which preferences have kept the step from workers since it last ran. Not stored.
     HeldTime held_{};
     /// Workers on which lower priorities were stopped for the step, and until when they are awaited. Not stored.
     std::vector<WorkerId> awaitedWorkers_{};
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -39,7 +39,9 @@
         sessions_.stop(worker, ref, run);
         return;
     }
-    resetHeldTime(*job, ref);
+    if (hasTask(*job, ref)) {
+        resetHeldTime(*job, ref);
+    }
     if (job->phase_ == JobPhase::Queued) {
         setPhase(*job, JobPhase::Running);
         flush();
--- a/tests/unit/test_heldwork.cpp
+++ b/tests/unit/test_heldwork.cpp
@@ -168,6 +168,31 @@
         CHECK(timeToStart(fleet, SecondId, submittedAt) < MaxTimeWithoutRun);
     }
 
+    SECTION("but for as long again after its run, however short the first wait was")
+    {
+        // Guards against a run that counts as time for which preferences kept the step waiting.
+        fleet.fails_ = [&fleet](const TaskRef &task) {
+            return task.job_ == SecondId && fleet.starts_[SecondId].size() == 1;
+        };
+        fleet.submit(job);
+        fleet.advance(15ms);
+        fleet.addWorkers(1, "zone-1", rackName(0) + "-late");
+        auto &late = fleet.worker(WorkerId("w-" + rackName(0) + "-late-0")).entry_;
+        late.rack_ = RackId(rackName(0));
+        fleet.scheduler_->updateWorker(late);
+        fleet.advance(1s);
+        REQUIRE(fleet.starts_[SecondId].size() == 1);
+        auto other = makeSubmission("00000000000000b9", "batch", 1, WholeWorkerTask);
+        other.plan_.steps_[0].dataRack_ = rackName(0);
+        other.plan_.steps_[0].estimate_ = 120s;
+        fleet.advance(1'500ms);
+        fleet.submit(other);
+        fleet.advance(5s);
+        const auto &starts = fleet.starts_[SecondId];
+        REQUIRE(starts.size() == 2);
+        CHECK(starts[1].second - (starts[0].second + DefaultWork) > 1s);
+    }
+
     SECTION("as one of many, while the others still wait for the rack")
     {
         job.plan_.steps_[0].count_ = 8;
