--- a/review/world-2/main.cc
+++ b/review/world-2/main.cc
@@ -130,8 +130,8 @@
         return world.starts_.size() >= 2;
     };
     const auto inTime = world.waitUntil(started, Calm + Bound + milliseconds(13'000));
-    world.call(2, "POST", "/other/00000000000000b2", nlohmann::json{{"spec", "x"}, {"steps", {step}}}.dump());
     const auto startsBefore = world.starts_.size();
+    world.call(2, "POST", "/other/00000000000000b2", nlohmann::json{{"spec", "x"}, {"steps", {step}}}.dump());
     const auto otherStarts = world.waitUntil(
         [&world, startsBefore] {
             return world.starts_.size() > startsBefore;
@@ -141,6 +141,14 @@
     if (!otherStarts) {
         return CouldNotRun;
     }
+    if (hasTrouble()) {
+        // A route of another name at the same path: callers see the job again, and it still does not go on.
+        auto renamed = route("renders-new", 2, 3);
+        renamed["path_prefix"] = "/renders/";
+        world.publish(config(8, {other, renamed}));
+        world.wait(milliseconds(8000));
+        world.call(1, "GET", "/renders/" + id);
+    }
     return verdict(
         world, !inTime, "the second step " + std::string(inTime ? "started" : "did not start within 20 s of the first step's end, with all executors idle"));
 }
