--- a/review/world-2/main.cc
+++ b/review/world-2/main.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <set>
 
 // Scenarios of the review. Usage: review-world SCENARIO FOLDER RECORD. The exit status is 1 if the rule was broken, 0 if it held, 2 if the case could
 // not run. With TROUBLE=0 in the environment the scenario runs without its disruption.
@@ -152,6 +153,69 @@
     return verdict(
         world, !inTime, "the second step " + std::string(inTime ? "started" : "did not start within 20 s of the first step's end, with all executors idle"));
 }
+/// A tenant has urgent gangs beyond its guarantee on all executors; another one hands in an urgent gang within its own.
+auto guaranteeAgainstGangs(World &world) -> int
+{
+    constexpr std::size_t GangSize = 8;
+    const auto desk = route("desk", 0, 3);
+    world.work_ = [](const std::string &) {
+        return milliseconds(90'000);
+    };
+    world.gangSize_ = [](const std::string &) {
+        return GangSize;
+    };
+    world.publish(config(3, {desk}, {{"a", 24}, {"b", 16}}));
+    if (!world.startInstances()) {
+        return CouldNotRun;
+    }
+    const nlohmann::json member{
+        {"count", GangSize}, {"cpu", 4000}, {"mem_mb", 1000}, {"gpu", 1}, {"estimate_ms", 90'000}, {"gang", true}, {"checkpointing", true}};
+    const auto gang = nlohmann::json{{"spec", "x"}, {"steps", {member}}}.dump();
+    // With the disruption, twice as many gangs come.
+    const std::size_t gangs = hasTrouble() ? 6 : 3;
+    world.useKey("a-key");
+    for (std::size_t i = 1; i <= gangs; ++i) {
+        if (world.call(i % 4, "POST", "/desk/000000000000000" + std::to_string(i), gang).status_ != 200) {
+            return CouldNotRun;
+        }
+    }
+    if (!world.waitUntil(
+            [&world, gangs] {
+                return world.running() == gangs * GangSize;
+            },
+            milliseconds(10'000))) {
+        return CouldNotRun;
+    }
+    world.wait(milliseconds(6000));
+    world.useKey("b-key");
+    const std::string id = "00000000000000b9";
+    const auto startsBefore = world.starts_.size();
+    if (world.call(1, "POST", "/desk/" + id, gang).status_ != 200) {
+        return CouldNotRun;
+    }
+    const auto confirmedAt = world.elapsed();
+    const auto began = [&world, &id, startsBefore] {
+        std::set<std::string> tasks;
+        for (std::size_t i = startsBefore; i < world.starts_.size(); ++i) {
+            if (world.starts_[i].task_.starts_with(id)) {
+                tasks.insert(world.starts_[i].task_);
+            }
+        }
+        return tasks.size();
+    };
+    const auto all = world.waitUntil(
+        [&began] {
+            return began() == GangSize;
+        },
+        milliseconds(45'000));
+    constexpr milliseconds ReclaimBound{2700};
+    const auto took = world.elapsed() - confirmedAt;
+    return verdict(world,
+                   !all || took > ReclaimBound,
+                   "tenant b uses nothing of its guaranteed 16 gpu; " + std::to_string(began()) + " of 8 tasks of its urgent gang had begun after "
+                       + std::to_string(took.count()) + " ms; the bound is 2700 ms");
+}
+
 /// A gang of low priority fills all executors. The leader is restarted while the gang's queue is missing from the configuration; the queue comes
 /// back. Later a job within the team's guarantee is handed in.
 auto guaranteeAfterRemovedRoute(World &world) -> int
@@ -329,6 +393,9 @@
     if (scenario == "zone-of-leader-lost") {
         return zoneOfLeaderLost(world);
     }
+    if (scenario == "guarantee-against-gangs") {
+        return guaranteeAgainstGangs(world);
+    }
     if (scenario == "guarantee-after-removed-route") {
         return guaranteeAfterRemovedRoute(world);
     }
--- a/review/world-2/world.cc
+++ b/review/world-2/world.cc
@@ -21,7 +21,7 @@
 constexpr milliseconds PollInterval{10};
 constexpr const char *Program = "target/bin/marjoramfold-instance";
 constexpr const char *Host = "review.example";
-constexpr const char *Key = "review-key";
+constexpr const char *FirstKey = "team-key";
 constexpr const char *Pool = "review-desk";
 } // namespace
 
@@ -40,12 +40,16 @@
             {"public", false}};
 }
 
-auto config(int version, const std::vector<nlohmann::json> &routes) -> nlohmann::json
+auto config(int version, const std::vector<nlohmann::json> &routes, const std::vector<Tenant> &tenants) -> nlohmann::json
 {
+    auto list = nlohmann::json::array();
+    for (const auto &tenant : tenants) {
+        list.push_back({{"name", tenant.name_}, {"api_keys", {tenant.name_ + "-key"}}, {"guaranteed", {{"gpu", tenant.guaranteedGpu_}}}});
+    }
     return {{"version", version},
             {"routes", routes},
             {"services", {{{"name", Pool}, {"admission_check", false}}}},
-            {"tenants", {{{"name", "team"}, {"api_keys", {Key}}, {"guaranteed", {{"gpu", 8}}}}}},
+            {"tenants", list},
             {"limits", nlohmann::json::object()}};
 }
 
@@ -57,6 +61,7 @@
     , client_(context_)
 {
     storePort_ = store_.listen();
+    key_ = FirstKey;
     // Below the range of ephemeral ports; runs side by side begin at different ports.
     nextPort_ = static_cast<std::uint16_t>(12'000 + getpid() * 64 % 18'000);
     makeWorkers(size.workers_);
@@ -246,10 +251,8 @@
 auto World::send(const std::string &address, const std::string &method, const std::string &path, const std::string &body) -> Answer
 {
     Marjoramfold::HttpClientRequest request{method, address, path, {}, body, CallTimeout};
-    request.headers_ = {{"Host", Host},
-                        {"Authorization", std::string("Bearer ") + Key},
-                        {"Content-Type", "application/json"},
-                        {"X-Deadline-Ms", std::to_string(CallTimeout.count())}};
+    request.headers_ = {
+        {"Host", Host}, {"Authorization", "Bearer " + key_}, {"Content-Type", "application/json"}, {"X-Deadline-Ms", std::to_string(CallTimeout.count())}};
     std::optional<Answer> answer;
     client_.send(std::move(request), [&answer](const Marjoramfold::Result<Marjoramfold::HttpClientResponse> &result) {
         if (!Marjoramfold::isOk(result)) {
@@ -275,6 +278,11 @@
     return answer;
 }
 
+auto World::useKey(std::string key) -> void
+{
+    key_ = std::move(key);
+}
+
 auto World::wait(milliseconds time) -> void
 {
     context_.run_for(time);
--- a/review/world-2/world.hh
+++ b/review/world-2/world.hh
@@ -73,6 +73,9 @@
     /// Sends a caller's request to one instance and waits for the answer.
     auto call(std::size_t instance, const std::string &method, const std::string &path, const std::string &body = {}) -> Answer;
 
+    /// The API key of the calls that follow; that of the first tenant until this is called.
+    auto useKey(std::string key) -> void;
+
     /// Writes an entry under the id of a worker as another writer does: without the time of the worker's start, and with the address of a
     /// server that accepts connections and never answers.
     auto writeOddEntry(std::size_t worker) -> void;
@@ -168,6 +171,7 @@
     std::vector<Instance> instances_;
     std::uint16_t nextPort_ = 0;
     milliseconds publishedAt_{0};
+    std::string key_;
     /// Workers and numbers of the runs in progress, by task.
     std::map<std::string, std::set<std::pair<std::string, int>>> active_;
 };
@@ -175,6 +179,12 @@
 /// The route of a queue in the operator's configuration.
 [[nodiscard]] auto route(const std::string &name, int priority, int maxAttempts) -> nlohmann::json;
 
-/// A configuration with one service, one tenant and the given routes.
-[[nodiscard]] auto config(int version, const std::vector<nlohmann::json> &routes) -> nlohmann::json;
+/// A tenant of the configuration, whose only key is NAME-key.
+struct Tenant {
+    std::string name_;
+    int guaranteedGpu_ = 0;
+};
+
+/// A configuration with one service, the given routes, and one tenant unless others are given.
+[[nodiscard]] auto config(int version, const std::vector<nlohmann::json> &routes, const std::vector<Tenant> &tenants = {{"team", 8}}) -> nlohmann::json;
 } // namespace Review
