--- a/review/world-2/main.cc
+++ b/review/world-2/main.cc
@@ -336,44 +336,49 @@
     return verdict(world, broken, "finish_s after the end of the traffic the job is '" + state + "' and " + (busy ? "runs" : "has nothing running for 3 s"));
 }
 
-/// An odd entry under the id of an executor is the newest one when the first leader loads the list; the executor's own entry follows.
-auto executorAfterOddEntry(World &world) -> int
+/// Odd entries under the ids of the executors are the newest ones when the first leader loads the list; the executors' own entries follow.
+auto executorsAfterOddEntries(World &world) -> int
 {
-    const std::string id = "00000000000000f1";
+    constexpr std::size_t Executors = 6;
     const auto desk = route("desk", 2, 3);
     world.work_ = [](const std::string &) {
         return milliseconds(2000);
     };
-    world.addLabel(0, "special");
+    for (std::size_t i = 0; i < Executors; ++i) {
+        world.addLabel(i, "only-w" + std::to_string(i));
+    }
     world.publish(config(3, {desk}));
-    // The executors write their entries every 1.5 s. The system starts 0.3 s before they do so again.
-    world.waitUntil(
-        [&world] {
-            return world.entryAge() > milliseconds(1150) && world.entryAge() < milliseconds(1250);
-        },
-        milliseconds(3000));
+    world.wait(milliseconds(3000));
     if (hasTrouble()) {
-        world.writeOddEntry(0);
+        for (std::size_t i = 0; i < Executors; ++i) {
+            world.writeOddEntry(i);
+        }
     }
     if (!world.startInstances()) {
         return CouldNotRun;
     }
-    // The executor's own entry has been the newest one for 10 s when the job comes.
+    // The executors' own entries have been the newest ones for 10 s when the jobs come.
     world.wait(milliseconds(11'500));
-    const nlohmann::json step{{"count", 1}, {"cpu", 1000}, {"mem_mb", 1000}, {"gpu", 1}, {"estimate_ms", 2000}, {"requires", "special"}};
-    if (world.call(0, "POST", "/desk/" + id, nlohmann::json{{"spec", "x"}, {"steps", {step}}}.dump()).status_ != 200) {
-        return CouldNotRun;
+    for (std::size_t i = 0; i < Executors; ++i) {
+        const auto number = std::to_string(i);
+        const nlohmann::json step{{"count", 1}, {"cpu", 1000}, {"mem_mb", 1000}, {"gpu", 1}, {"estimate_ms", 2000}, {"requires", "only-w" + number}};
+        if (world.call(0, "POST", "/desk/00000000000000f" + number, nlohmann::json{{"spec", "x"}, {"steps", {step}}}.dump()).status_ != 200) {
+            return CouldNotRun;
+        }
     }
-    const auto started = world.waitUntil(
+    const auto all = world.waitUntil(
         [&world] {
-            return !world.starts_.empty();
+            return world.starts_.size() == Executors;
         },
         milliseconds(25'000));
-    world.call(1, "GET", "/desk/" + id);
-    return verdict(
-        world, !started, "the job that only executor w0 can take " + std::string(started ? "started" : "did not start within 25 s; w0 is idle and up"));
+    for (std::size_t i = 0; i < Executors; ++i) {
+        world.call(1, "GET", "/desk/00000000000000f" + std::to_string(i));
+    }
+    return verdict(world,
+                   !all,
+                   std::to_string(Executors - world.starts_.size())
+                       + " of 6 jobs, each of which one executor can take, did not start within 25 s, though all executors are idle and up");
 }
-
 } // namespace
 
 auto main(int argc, char **argv) -> int
@@ -399,8 +404,8 @@
     if (scenario == "guarantee-after-removed-route") {
         return guaranteeAfterRemovedRoute(world);
     }
-    if (scenario == "executor-after-odd-entry") {
-        return executorAfterOddEntry(world);
+    if (scenario == "executors-after-odd-entries") {
+        return executorsAfterOddEntries(world);
     }
     std::cerr << "review-world: unknown scenario " << scenario << "\n";
     return CouldNotRun;
--- a/review/world-2/world.cc
+++ b/review/world-2/world.cc
@@ -159,7 +159,11 @@
         worker.rack_ = i % 2 == 0 ? "r1-1" : "r2-1";
         workers_.push_back(std::move(worker));
     }
-    publishWorkersPeriodically();
+    // The executors write their entries at different times.
+    for (std::size_t i = 0; i < workers_.size(); ++i) {
+        publishWorker(workers_[i]);
+        publishPeriodically(i, EntryInterval * (i + 1) / workers_.size());
+    }
 }
 
 auto World::entryOf(const Worker &worker) const -> nlohmann::json
@@ -174,7 +178,7 @@
 auto World::addLabel(std::size_t worker, const std::string &label) -> void
 {
     workers_.at(worker).moreLabels_.push_back(label);
-    publishWorkers();
+    publishWorker(workers_.at(worker));
 }
 
 auto World::writeOddEntry(std::size_t worker) -> void
@@ -186,23 +190,20 @@
     note("another writer: entry of " + workers_.at(worker).worker_->id() + " without born: " + entry.dump());
 }
 
-auto World::publishWorkers() -> void
+auto World::publishWorker(const Worker &worker) -> void
 {
-    for (const auto &worker : workers_) {
-        if (!worker.lost_) {
-            store_.put("keyed.servers", worker.worker_->id(), entryOf(worker).dump());
-        }
+    if (!worker.lost_) {
+        store_.put("keyed.servers", worker.worker_->id(), entryOf(worker).dump());
     }
-    publishedAt_ = elapsed();
 }
 
-auto World::publishWorkersPeriodically() -> void
+auto World::publishPeriodically(std::size_t worker, milliseconds delay) -> void
 {
-    publishWorkers();
-    auto timer = std::make_shared<asio::steady_timer>(context_, EntryInterval);
-    timer->async_wait([this, timer](const std::error_code &error) {
+    auto timer = std::make_shared<asio::steady_timer>(context_, delay);
+    timer->async_wait([this, timer, worker](const std::error_code &error) {
         if (!error) {
-            publishWorkersPeriodically();
+            publishWorker(workers_.at(worker));
+            publishPeriodically(worker, EntryInterval);
         }
     });
 }
--- a/review/world-2/world.hh
+++ b/review/world-2/world.hh
@@ -112,11 +112,6 @@
     auto note(const std::string &text) -> void;
 
     [[nodiscard]] auto elapsed() const -> milliseconds;
-    /// Time since the executors last wrote their entries.
-    [[nodiscard]] auto entryAge() const -> milliseconds
-    {
-        return elapsed() - publishedAt_;
-    }
     /// Tasks that run now on any worker.
     [[nodiscard]] auto running() const -> std::size_t;
 
@@ -151,8 +146,8 @@
     };
 
     auto makeWorkers(std::size_t count) -> void;
-    auto publishWorkers() -> void;
-    auto publishWorkersPeriodically() -> void;
+    auto publishWorker(const Worker &worker) -> void;
+    auto publishPeriodically(std::size_t worker, milliseconds delay) -> void;
     [[nodiscard]] auto entryOf(const Worker &worker) const -> nlohmann::json;
     auto freeAddress() -> std::string;
     auto startProcess(Instance &instance) -> void;
@@ -170,7 +165,6 @@
     std::vector<Worker> workers_;
     std::vector<Instance> instances_;
     std::uint16_t nextPort_ = 0;
-    milliseconds publishedAt_{0};
     std::string key_;
     /// Workers and numbers of the runs in progress, by task.
     std::map<std::string, std::set<std::pair<std::string, int>>> active_;
