Add a settings table for switches of the scheduler

The parts of this release must leave a deployment as it was unless its settings ask for them. No decision reads the switches yet.

--- a/marjoramfold/dispatch/dispatchoptions.h
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -66,5 +66,13 @@
     double maxPassShare_ = 0.3;
     /// Commands to workers that are sent in one turn of the control thread, apart from those that follow from a worker's response.
     std::size_t commandsPerTurn_ = 32;
+    /// Urgent and large work prefers workers that take less time for the same work. See docs/design/worker-speeds.md.
+    bool preferFastWorkers_ = false;
+    /// Idle workers are kept together in few racks, for gangs that need one rack. See docs/design/capacity-sharing.md.
+    bool packRacks_ = false;
+    /// Waiting work of higher rank withholds capacity from work of lower rank. See docs/design/capacity-sharing.md.
+    bool shareRoomByCost_ = false;
+    /// Submissions that could not end in time are rejected. See docs/design/admission.md.
+    bool rejectHopeless_ = false;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/node/nodesettings.cpp
+++ b/marjoramfold/node/nodesettings.cpp
@@ -24,7 +24,7 @@
     {
         const auto *table = root[name_].as_table();
         if (table == nullptr) {
-            throw Error{ErrorKind::InvalidSettings, "table [" + name_ + "] is missing", std::nullopt};
+            throw Error{ErrorKind::InvalidSettings, "[" + name_ + "] is missing or no table", std::nullopt};
         }
         table_ = table;
     }
@@ -75,6 +75,20 @@
         return std::chrono::milliseconds(static_cast<std::int64_t>(number(key, 0, MaxSeconds) * MillisecondsPerSecond));
     }
 
+    /// Reads a switch that may be missing, and then is off.
+    [[nodiscard]] auto optionalSwitch(const char *key) const -> bool
+    {
+        const auto node = (*table_)[key];
+        if (!node) {
+            return false;
+        }
+        const auto *value = node.as_boolean();
+        if (value == nullptr) {
+            fail(key, "must be true or false");
+        }
+        return value->get();
+    }
+
 private:
     [[noreturn]] auto fail(const std::string &key, const std::string &reason) const -> void
     {
@@ -111,6 +125,13 @@
     dispatch.maxStopTime_ = bounds.milliseconds("stop_ms");
     dispatch.guaranteedStartDeadline_ = bounds.milliseconds("reclaim_ms");
     dispatch.remoteSlowdown_ = bounds.number("far_factor", 1, MaxFarFactor);
+    if (root.contains("scheduling")) {
+        const TableReader scheduling(root, "scheduling");
+        dispatch.preferFastWorkers_ = scheduling.optionalSwitch("prefer_fast_workers");
+        dispatch.packRacks_ = scheduling.optionalSwitch("pack_racks");
+        dispatch.shareRoomByCost_ = scheduling.optionalSwitch("share_room_by_cost");
+        dispatch.rejectHopeless_ = scheduling.optionalSwitch("reject_hopeless");
+    }
     return settings;
 }
 } // namespace
--- a/tests/unit/test_platformcodec.cpp
+++ b/tests/unit/test_platformcodec.cpp
@@ -239,6 +239,19 @@
     CHECK(valueOf(settings).metricsAddress_ == "10.0.0.1:7000");
     CHECK(valueOf(settings).maxDescriptors_ == 4100);
 
+    SECTION("switches of the scheduler that are not set are off")
+    {
+        auto without = text;
+        without.erase(without.find("[scheduling]"));
+        const auto parsed = parseNodeSettings(without);
+        REQUIRE(isOk(parsed));
+        CHECK_FALSE(valueOf(parsed).dispatch_.packRacks_);
+        without += "[scheduling]\npack_racks = true\n";
+        const auto packed = parseNodeSettings(without);
+        REQUIRE(isOk(packed));
+        CHECK(valueOf(packed).dispatch_.packRacks_);
+        CHECK_FALSE(valueOf(packed).dispatch_.shareRoomByCost_);
+    }
     SECTION("the error names a missing or invalid key")
     {
         const auto [from, to, part] = GENERATE(table<std::string, std::string, std::string>({
@@ -253,6 +266,9 @@
             {"\"10.0.0.2:90\"", "\"10.0.0.2:99999\"", "store.address"},
             {"\"10.0.0.2:90\"", "\"10.0.0.2:-1\"", "store.address"},
             {"\"10.0.0.1:80\"", "\"10.0.0.1:0\"", "listen.callers"},
+            {"pack_racks = false", "pack_racks = 1", "scheduling.pack_racks"},
+            {"reject_hopeless = false", "reject_hopeless = \"yes\"", "scheduling.reject_hopeless"},
+            {"[scheduling]", "[[scheduling]]", "[scheduling]"},
         }));
         auto faulty = text;
         faulty.replace(faulty.find(from), from.size(), to);
