Prefer fast workers for urgent and large gangs, and leave them free of bulk

Cause: on uneven fleets the same task takes up to 2.2 times as long on one worker as on another, and placement ignored it.

Change: the leader learns relative durations from ends of first runs of independent tasks (dispatch/workerspeeds), compared with the other tasks of the step as on ordinary workers. WorkerSelector ranks workers by speed class within a health rank (dispatch/speedpreference), racks by the slowest chosen worker, and expected run times use the speed; stall detection keeps the longer expectation. The speeds are recorded under one key of the progress topic with the next append, at most every 5 s. All of it is behind scheduling.prefer_fast_workers.

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -121,6 +121,10 @@
 
 auto FleetScheduler::restoreProgress(const std::string &key, const std::string &value) -> void
 {
+    if (key == WorkerSpeeds::RecordKey) {
+        restoreSpeeds(value);
+        return;
+    }
     const auto parsed = parseProgressKey(key);
     auto *job = parsed ? findJob(parsed->job_) : nullptr;
     if (job == nullptr || parsed->occurrence_ >= job->occurrences_.size()) {
@@ -163,7 +167,7 @@
                 }
                 ++steps[step].active_;
                 ++job->active_;
-                const auto run = makeWorkerRun(*job, step, queue == nullptr ? 0 : queue->priority_, false);
+                const auto run = makeWorkerRun(*job, step, task.worker_, queue == nullptr ? 0 : queue->priority_, false);
                 sessions_.adoptRun(task.worker_, task.workerIncarnation_, {id, occurrence, step, index}, task.lastRun_, run);
             }
         }
@@ -260,6 +264,7 @@
             failJob(*job, "its progress does not fit into a record of the store");
         }
     }
+    addSpeedsRecord(records);
     return records;
 }
 
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -7,6 +7,7 @@
 #include "marjoramfold/dispatch/progressrecord.h"
 #include "marjoramfold/dispatch/workerselector.h"
 #include "marjoramfold/dispatch/workersessions.h"
+#include "marjoramfold/dispatch/workerspeeds.h"
 #include "marjoramfold/fleet/operatorconfig.h"
 #include "marjoramfold/observability/workmeter.h"
 #include "marjoramfold/store/streamstore.h"
@@ -57,6 +58,8 @@
     /// Reports of runs that this leader did not know.
     std::uint64_t unexpectedRuns_ = 0;
     std::uint64_t passes_ = 0;
+    /// Runs from which the speed of their workers was learned.
+    std::uint64_t speedSamples_ = 0;
 };
 
 /// The leader's scheduler: places tasks on workers, stores the decisions, sends the commands and tracks runs until they end.
@@ -107,6 +110,7 @@
     [[nodiscard]] auto counts() const -> const SchedulerCounts &;
     [[nodiscard]] auto jobs() const -> const std::unordered_map<JobId, std::unique_ptr<TrackedJob>> &;
     [[nodiscard]] auto sessions() const -> const WorkerSessions &;
+    [[nodiscard]] auto workerSpeeds() const -> const WorkerSpeeds &;
 
 private:
     /// A run whose start command is sent once its record is stored.
@@ -169,6 +173,19 @@
     /// Keeps the latest checkpoint; the members of a gang share it.
     auto keepCheckpoint(StepState &step, const StepPlan &plan, const RunEnded &end) -> void;
 
+    // speedsamples.cpp: learning and recording of the workers' speeds.
+    /// The speeds by which workers are chosen; null when they are not used.
+    [[nodiscard]] auto speeds() const -> const WorkerSpeeds *;
+    /// Learns from the end of a task's first run, compared with the other tasks of the step.
+    auto learnSpeed(TrackedJob &job, const RunEnded &end) -> void;
+    /// Durations of other tasks of the step on ordinary workers, of unfinished ones as projected from their progress.
+    [[nodiscard]] auto otherDurations(const TrackedJob &job, const TaskRef &task) const -> std::vector<double>;
+    /// True when a run on the worker takes no longer for being away from the step's data.
+    [[nodiscard]] static auto ranNearData(const StepPlan &plan, const WorkerSession &session) -> bool;
+    /// Adds the record of the speeds to an append if it is due.
+    auto addSpeedsRecord(std::vector<KeyedRecord> &records) -> void;
+    auto restoreSpeeds(const std::string &record) -> void;
+
     // interventions.cpp: early stops of runs that would not end by themselves.
     auto findStalls() -> void;
     /// True for a gang member without progress while another member is not running.
@@ -218,7 +235,7 @@
     auto preempt(WorkerSelector &selector, const ReadyStep &ready, const PlacementDecision &choice) -> void;
     auto startTasks(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, const PlacementDecision &choice) -> void;
     /// The state of a new run that occupies capacity of a worker.
-    [[nodiscard]] auto makeWorkerRun(const TrackedJob &job, std::uint32_t step, int priority, bool remote) const -> WorkerRun;
+    [[nodiscard]] auto makeWorkerRun(const TrackedJob &job, std::uint32_t step, const WorkerId &worker, int priority, bool remote) const -> WorkerRun;
     [[nodiscard]] auto runTimeRatioOf(const std::string &queue) const -> double;
 
     DispatchOptions options_;
@@ -240,6 +257,8 @@
     std::vector<std::pair<JobId, JobPhase>> pendingPhases_;
     /// Smoothed ratio of measured to estimated run time, by queue.
     std::unordered_map<std::string, double> runTimeRatios_;
+    WorkerSpeeds speeds_;
+    BootTime speedsRecordedAt_{};
     SchedulerCounts counts_;
     bool scheduling_ = false;
     BootTime schedulingSince_{};
--- a/marjoramfold/dispatch/interventions.cpp
+++ b/marjoramfold/dispatch/interventions.cpp
@@ -57,7 +57,7 @@
     std::vector<std::pair<WorkerSession *, RunKey>> waiting;
     for (const auto &[id, session] : sessions_.all()) {
         for (const auto &[key, run] : session->runs_) {
-            const auto share = std::chrono::duration_cast<std::chrono::milliseconds>(run.expected_ * options_.stallRunTimeShare_);
+            const auto share = std::chrono::duration_cast<std::chrono::milliseconds>(run.longestExpected_ * options_.stallRunTimeShare_);
             const auto hasExpectedTime = run.expected_.count() > 0;
             if (run.stage_ == RunStage::Running && hasExpectedTime && progressAge(*session, run) > std::max(options_.stallTimeout_, share)) {
                 (waitsForGangMember(key, run) ? waiting : stalled).emplace_back(session.get(), key);
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -35,6 +35,8 @@
     std::string checkpoint_;
     /// Workers on which the task failed or stalled. Not stored.
     std::map<WorkerId, WorkerFailures> failedOn_;
+    /// WorkerSpeeds::ordinaryDuration() of the first run, if it ended done. Not stored.
+    std::optional<double> ordinaryDuration_;
 
     /// True while a run may exist.
     [[nodiscard]] auto isActive() const -> bool
--- a/marjoramfold/dispatch/placementrequest.h
+++ b/marjoramfold/dispatch/placementrequest.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -40,6 +41,8 @@
     PreferenceSet waived_;
     /// Active runs of the step by worker; they count against the limit per worker.
     std::unordered_map<WorkerId, std::uint32_t> placed_;
+    /// Relative duration on a worker from which a task alone is expected to miss the objective of its queue.
+    double maxRelativeDuration_ = std::numeric_limits<double>::infinity();
 
     /// True when the tasks run slower on workers away from their data, or a gang on more than one rack.
     [[nodiscard]] auto prefersLocality() const -> bool
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -103,6 +103,7 @@
     keepCheckpoint(step, plan, end);
     if (end.kind_ == RunOutcome::Done && !plan.service_) {
         updateRunTimeRatio(*job, end);
+        learnSpeed(*job, end);
         applyDone(*job, end);
     } else if (end.kind_ == RunOutcome::Failed && !plan.service_) {
         applyFailure(*job, end);
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -41,7 +41,7 @@
     const auto guaranteeOf = [this](const TeamId &team) {
         return hooks_.config_().guaranteedAccelerators(team);
     };
-    WorkerSelector selector(sessions_.all(), hooks_.evacuatedZones_(), guaranteeOf, options_.quarantineTime_, BootClock::now());
+    WorkerSelector selector(sessions_.all(), hooks_.evacuatedZones_(), guaranteeOf, options_.quarantineTime_, BootClock::now(), speeds());
     TeamUse urgentUse;
     auto ready = readySteps(urgentUse);
     orderSteps(ready, std::move(urgentUse));
@@ -176,6 +176,10 @@
     const auto &plan = ready.job_->submission_.plan_.steps_[ready.rank_.step_];
     const auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
     PlacementRequest request{&plan, ready.queue_->pool_, static_cast<std::uint32_t>(tasks.size()), ready.queue_->priority_, false, {}, {}, {}};
+    if (plan.estimate_.count() > 0) {
+        const auto latency = std::chrono::duration<double>(ready.queue_->targetLatency_) / std::chrono::duration<double>(plan.estimate_);
+        request.maxRelativeDuration_ = ready.queue_->stretch_ + latency;
+    }
     request.withinGuarantee_ = ready.rank_.urgencyClass_ == 0 && ready.rank_.beyondGuarantee_ == 0;
     const auto now = BootClock::now();
     for (const auto index : tasks) {
@@ -333,7 +337,7 @@
     return true;
 }
 
-auto FleetScheduler::makeWorkerRun(const TrackedJob &job, std::uint32_t step, int priority, bool remote) const -> WorkerRun
+auto FleetScheduler::makeWorkerRun(const TrackedJob &job, std::uint32_t step, const WorkerId &worker, int priority, bool remote) const -> WorkerRun
 {
     const auto &plan = job.submission_.plan_.steps_[step];
     WorkerRun run;
@@ -343,7 +347,9 @@
     run.gangSize_ = plan.gang_ ? plan.count_ : 1;
     run.checkpointsOnStop_ = plan.checkpoints_;
     const auto expected = std::chrono::duration_cast<std::chrono::milliseconds>(plan.estimate_ * (remote ? options_.remoteSlowdown_ : 1.0));
-    run.expected_ = plan.service_ ? std::chrono::milliseconds(0) : expected;
+    const auto relativeDuration = options_.preferFastWorkers_ ? speeds_.relativeDuration(worker) : 1.0;
+    run.expected_ = plan.service_ ? std::chrono::milliseconds(0) : std::chrono::duration_cast<std::chrono::milliseconds>(expected * relativeDuration);
+    run.longestExpected_ = plan.service_ ? std::chrono::milliseconds(0) : std::max(expected, run.expected_);
     run.placedAt_ = BootClock::now();
     return run;
 }
@@ -371,7 +377,8 @@
         task.workerIncarnation_ = session.incarnation_;
         ++state.active_;
         ++job.active_;
-        sessions_.place(session.entry_.id_, ref, task.lastRun_, makeWorkerRun(job, ready.rank_.step_, ready.queue_->priority_, choice.remote_));
+        sessions_.place(
+            session.entry_.id_, ref, task.lastRun_, makeWorkerRun(job, ready.rank_.step_, session.entry_.id_, ready.queue_->priority_, choice.remote_));
         selector.allocate(session, plan.task_);
         pendingStarts_.push_back({ref, task.lastRun_, session.entry_.id_});
         markDirty(job, ready.rank_.occurrence_, ready.rank_.step_, tasks[i]);
--- a/marjoramfold/dispatch/workerrenewals.cpp
+++ b/marjoramfold/dispatch/workerrenewals.cpp
@@ -261,7 +261,8 @@
                                {},
                                session.incarnation_,
                                true,
-                               end.number_});
+                               end.number_,
+                               false});
             continue;
         }
         endRun(session, {end.task_, end.run_}, end.kind_, end.checkpoint_, false, "reported by the worker", end.number_);
--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -1,6 +1,7 @@
 #include "marjoramfold/dispatch/workerselector.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace Marjoramfold
@@ -18,10 +19,12 @@
                                const std::unordered_set<std::string> &evacuatedZones,
                                GuaranteeOf guaranteeOf,
                                std::chrono::milliseconds lastResortDelay,
-                               BootTime now)
+                               BootTime now,
+                               const WorkerSpeeds *speeds)
     : sessions_(sessions)
     , guaranteeOf_(std::move(guaranteeOf))
     , now_(now)
+    , knowsSpeeds_(speeds != nullptr)
 {
     candidates_.reserve(sessions.size());
     for (const auto &[id, session] : sessions) {
@@ -31,6 +34,10 @@
             const auto quarantined = session->quarantinedUntil_ > now;
             candidates_.push_back({session.get(), session->freeCapacity(), false, quarantined, quarantined && now - session->quarantinedAt_ < lastResortDelay});
             quarantined_ += quarantined ? 1 : 0;
+            if (knowsSpeeds_) {
+                candidates_.back().relativeDuration_ = speeds->relativeDuration(id);
+                candidates_.back().speed_ = speedClassOf(candidates_.back().relativeDuration_);
+            }
             if (!quarantined) {
                 auto &pool = pools_[session->entry_.pool_];
                 ++pool.workers_;
@@ -143,7 +150,8 @@
 auto WorkerSelector::selectWorkers(const Group &group, const PlacementRequest &request) const -> std::vector<WorkerSession *>
 {
     // Best fit: workers with the fewest free accelerators come first, so that large tasks still find large free blocks.
-    std::vector<std::pair<std::uint32_t, const Candidate *>> ranked;
+    std::vector<RankedCandidate> ranked;
+    const auto preferHealthy = needsHealthyWorkers(request);
     auto spareWorkers = spareIdleWorkers(request.pool_);
     const auto keepsReservations = request.priority_ > 0 && !request.waived_.contains(Preference::Reservation);
     const auto keepsIdleReserve = request.priority_ > 0 && !request.waived_.contains(Preference::IdleReserve);
@@ -160,29 +168,57 @@
         const auto &id = candidate->session_->entry_.id_;
         const auto fits = countFitting(candidate->free_, request.step_->task_, request.taskLimitAt(id, request.count_));
         if (fits > 0) {
-            ranked.emplace_back(fits, candidate);
+            const auto withoutProgress = preferHealthy && !wasRecentlyHealthy(*candidate->session_);
+            ranked.push_back({fits, candidate, (candidate->quarantined_ ? 2U : 0U) + (withoutProgress ? 1U : 0U), 0});
         }
     }
-    const auto preferHealthy = needsHealthyWorkers(request);
-    std::stable_sort(ranked.begin(), ranked.end(), [this, preferHealthy](const auto &left, const auto &right) {
-        if (left.second->quarantined_ != right.second->quarantined_) {
-            return right.second->quarantined_;
+    rankBySpeed(ranked, request);
+    std::stable_sort(ranked.begin(), ranked.end(), [](const RankedCandidate &left, const RankedCandidate &right) {
+        if (left.healthRank_ != right.healthRank_) {
+            return left.healthRank_ < right.healthRank_;
         }
-        const auto leftHealthy = wasRecentlyHealthy(*left.second->session_);
-        if (preferHealthy && leftHealthy != wasRecentlyHealthy(*right.second->session_)) {
-            return leftHealthy;
+        if (left.speedRank_ != right.speedRank_) {
+            return left.speedRank_ < right.speedRank_;
         }
-        return left.second->free_.accelerators_ < right.second->free_.accelerators_;
+        return left.candidate_->free_.accelerators_ < right.candidate_->free_.accelerators_;
     });
     std::vector<WorkerSession *> workers;
-    for (const auto &[fits, candidate] : ranked) {
-        for (std::uint32_t i = 0; i < fits && workers.size() < request.count_; ++i) {
-            workers.push_back(candidate->session_);
+    for (const auto &worker : ranked) {
+        for (std::uint32_t i = 0; i < worker.fits_ && workers.size() < request.count_; ++i) {
+            workers.push_back(worker.candidate_->session_);
         }
     }
     return workers;
 }
 
+auto WorkerSelector::rankBySpeed(std::vector<RankedCandidate> &ranked, const PlacementRequest &request) const -> void
+{
+    if (!knowsSpeeds_) {
+        return;
+    }
+    std::vector<SpeedChoice> choices;
+    choices.reserve(ranked.size());
+    for (const auto &worker : ranked) {
+        const auto isTooSlow = worker.candidate_->relativeDuration_ > request.maxRelativeDuration_;
+        choices.push_back({worker.candidate_->speed_, isTooSlow, worker.fits_, worker.healthRank_});
+    }
+    const auto ranks = Marjoramfold::rankBySpeed(request, choices);
+    for (std::size_t i = 0; i < ranked.size(); ++i) {
+        ranked[i].speedRank_ = ranks[i];
+    }
+}
+
+auto WorkerSelector::slowestSpeed(const std::vector<WorkerSession *> &workers, const PlacementRequest &request) -> SpeedClass
+{
+    auto slowest = SpeedClass::VeryFast;
+    if (knowsSpeeds_ && prefersFastWorkers(request)) {
+        for (const auto *session : workers) {
+            slowest = std::max(slowest, candidateOf(*session)->speed_);
+        }
+    }
+    return slowest;
+}
+
 auto WorkerSelector::findPlacement(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
 {
     if (failed_.contains(request, local, FailedRequests::Search::FreeCapacity)) {
@@ -214,7 +250,7 @@
 auto WorkerSelector::findPlacementIn(const std::vector<Group> &groups, const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
 {
     std::optional<PlacementDecision> best;
-    std::pair<std::size_t, std::int64_t> bestScore;
+    std::tuple<std::size_t, SpeedClass, std::int64_t> bestScore;
     for (const auto &group : groups) {
         auto workers = selectWorkers(group, request);
         if (workers.empty() || (request.step_->gang_ && workers.size() < request.count_)) {
@@ -225,7 +261,7 @@
         const auto withoutRecentProgress = std::count_if(workers.begin(), workers.end(), [this, &request](const WorkerSession *worker) {
             return needsHealthyWorkers(request) && !wasRecentlyHealthy(*worker);
         });
-        const std::pair score(static_cast<std::size_t>(withoutRecentProgress), free);
+        const std::tuple score(static_cast<std::size_t>(withoutRecentProgress), slowestSpeed(workers, request), free);
         if (!best || score < bestScore) {
             best = PlacementDecision{std::move(workers), !local, {}};
             bestScore = score;
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -3,6 +3,7 @@
 #include "marjoramfold/dispatch/failedrequests.h"
 #include "marjoramfold/dispatch/placementrequest.h"
 #include "marjoramfold/dispatch/reclaimbudget.h"
+#include "marjoramfold/dispatch/speedpreference.h"
 #include "marjoramfold/dispatch/workersession.h"
 
 #include <chrono>
@@ -24,12 +25,13 @@
 {
 public:
     /// Takes a snapshot of the workers that may get new work now. `lastResortDelay` is the time after its last failure from which a
-    /// quarantined worker gets work that no other worker can take.
+    /// quarantined worker gets work that no other worker can take. Without `speeds`, all workers count as equally fast.
     WorkerSelector(const WorkerSessionMap &sessions,
                    const std::unordered_set<std::string> &evacuatedZones,
                    GuaranteeOf guaranteeOf,
                    std::chrono::milliseconds lastResortDelay,
-                   BootTime now);
+                   BootTime now,
+                   const WorkerSpeeds *speeds = nullptr);
 
     /// When the snapshot was taken.
     [[nodiscard]] auto takenAt() const -> BootTime;
@@ -80,10 +82,21 @@
         bool quarantined_ = false;
         /// Quarantined, and its last failure is too recent for a last resort.
         bool barred_ = false;
+        double relativeDuration_ = 1;
+        SpeedClass speed_ = SpeedClass::Ordinary;
     };
 
     using Group = std::vector<Candidate *>;
 
+    /// A candidate with room for a request.
+    struct RankedCandidate {
+        std::uint32_t fits_ = 0;
+        const Candidate *candidate_ = nullptr;
+        unsigned healthRank_ = 0;
+        /// Set when speeds are known; lower numbers are taken first.
+        int speedRank_ = 0;
+    };
+
     /// Resources of several workers.
     struct ResourceUse {
         ResourceVector capacity_;
@@ -160,6 +173,11 @@
     [[nodiscard]] static auto needsHealthyWorkers(const PlacementRequest &request) -> bool;
     [[nodiscard]] auto wasRecentlyHealthy(const WorkerSession &session) const -> bool;
 
+    /// Sets the speed ranks of candidates for a request.
+    auto rankBySpeed(std::vector<RankedCandidate> &ranked, const PlacementRequest &request) const -> void;
+    /// The slowest class of the workers of a placement that prefers fast ones; the same for all other placements.
+    [[nodiscard]] auto slowestSpeed(const std::vector<WorkerSession *> &workers, const PlacementRequest &request) -> SpeedClass;
+
     const WorkerSessionMap &sessions_;
     GuaranteeOf guaranteeOf_;
     /// In the order of the worker ids.
@@ -174,5 +192,6 @@
     /// Each pool has its own reserve of idle workers.
     std::map<std::string_view, PoolWorkers> pools_;
     BootTime now_;
+    bool knowsSpeeds_ = false;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -45,6 +45,8 @@
     bool checkpointsOnStop_ = false;
     /// Expected run time on this worker; zero for a service.
     std::chrono::milliseconds expected_{0};
+    /// The same on a worker of ordinary speed, or on this one if it is slower: the measure for a stall, which a learned speed must not tighten.
+    std::chrono::milliseconds longestExpected_{0};
     BootTime placedAt_{};
     /// Fencing token of the start command; a report requested with a higher token proves whether the command was executed.
     std::uint64_t startToken_ = 0;
@@ -52,6 +54,9 @@
     unsigned startCommands_ = 0;
     /// When the worker's acceptance arrived; a report requested earlier may lack the run.
     BootTime acceptedAt_{};
+    /// The worker's acceptance came as an answer to the start command, so that `acceptedAt_` is when the run began. A run that a report showed
+    /// may have begun long before.
+    bool startTimeKnown_ = false;
     /// A report of the session's worker incarnation contained the run; the response to a start command does not name its incarnation.
     bool reported_ = false;
     /// The newest report lacks the run and had no room for all ends, so that its end may follow once those in the report are acknowledged.
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -216,6 +216,7 @@
     switch (response.outcome_) {
     case CommandOutcome::Accepted:
         state.acceptedAt_ = BootClock::now();
+        state.startTimeKnown_ = true;
         state.progressAt_ = state.acceptedAt_;
         state.progressClock_ = session->clock_;
         if (state.stage_ == RunStage::StartSent || state.stage_ == RunStage::InDoubt) {
@@ -361,7 +362,8 @@
                        ranFor,
                        session.incarnation_,
                        run.reported_,
-                       number});
+                       number,
+                       run.startTimeKnown_});
     events_.capacityChanged_();
 }
 
--- a/marjoramfold/dispatch/workersessions.h
+++ b/marjoramfold/dispatch/workersessions.h
@@ -43,6 +43,8 @@
     bool reported_ = false;
     /// Number of the end in the incarnation's reports; 0 when the worker has not reported it.
     std::uint64_t number_ = 0;
+    /// `ranFor_` counts from the begin of the run.
+    bool startTimeKnown_ = false;
 };
 
 /// A worker's ends up to a number, which counts anew in each incarnation.
--- a/marjoramfold/node/instancemetrics.cpp
+++ b/marjoramfold/node/instancemetrics.cpp
@@ -1,5 +1,7 @@
 #include "marjoramfold/node/instancemetrics.h"
 
+#include <array>
+#include <string>
 #include <utility>
 
 namespace Marjoramfold
@@ -13,6 +15,7 @@
     , unresponsiveWorkers_(registry.gauge({"marjoramfold_leader_silent_workers", "Workers that do not answer the leader", {}}).at())
     , runs_(registry.gauge({"marjoramfold_leader_runs", "Runs that take room at workers", {}}).at())
     , decisions_(registry.gauge({"marjoramfold_leader_decisions", "Decisions and outcomes since this instance leads", {"kind"}}))
+    , speeds_(registry.gauge({"marjoramfold_leader_worker_speeds", "Workers by the class of their learned speed", {"class"}}))
     , work_(registry.counter({"marjoramfold_control_work_seconds_total", "Time that the control thread spent on each kind of work", {"kind"}}))
 {
 }
@@ -34,8 +37,10 @@
     std::size_t unresponsive = 0;
     std::size_t runs = 0;
     SchedulerCounts counts;
+    std::array<std::size_t, SpeedClassCount> speeds{};
     if (leader != nullptr) {
         counts = leader->scheduler().counts();
+        speeds = leader->scheduler().workerSpeeds().countByClass();
         for (const auto &[id, session] : leader->scheduler().sessions().all()) {
             ++workers;
             unresponsive += session->unreachableSince_ == BootTime{} ? 0 : 1;
@@ -56,9 +61,13 @@
         {"move", counts.moves_},
         {"waived_placement", counts.waivedPlacements_},
         {"unexpected_run", counts.unexpectedRuns_},
+        {"speed_sample", counts.speedSamples_},
     };
     for (const auto &[kind, value] : kinds) {
         decisions_.at({kind}).Set(static_cast<double>(value));
     }
+    for (std::size_t number = 0; number < SpeedClassCount; ++number) {
+        speeds_.at({std::string(toString(static_cast<SpeedClass>(number)))}).Set(static_cast<double>(speeds.at(number)));
+    }
 }
 } // namespace Marjoramfold
--- a/marjoramfold/node/instancemetrics.h
+++ b/marjoramfold/node/instancemetrics.h
@@ -29,6 +29,7 @@
     prometheus::Gauge &unresponsiveWorkers_;
     prometheus::Gauge &runs_;
     GaugeFamily &decisions_;
+    GaugeFamily &speeds_;
     CounterFamily &work_;
 };
 } // namespace Marjoramfold
--- a/tests/support/simulatedfleet.cpp
+++ b/tests/support/simulatedfleet.cpp
@@ -23,6 +23,7 @@
 
 SimulatedFleet::SimulatedFleet()
 {
+    options_.maxStopTime_ = StopDuration;
     QueueConfig urgent;
     urgent.name_ = "urgent";
     urgent.pool_ = "pool";
@@ -103,9 +104,7 @@
         return now_;
     };
     hooks.schedule_ = schedule_.hook();
-    DispatchOptions options;
-    options.maxStopTime_ = StopDuration;
-    scheduler_ = std::make_unique<FleetScheduler>(options, epoch_, calls, hooks, [this] {
+    scheduler_ = std::make_unique<FleetScheduler>(options_, epoch_, calls, hooks, [this] {
         violations_.push_back("the only leader lost its leadership");
     });
     for (auto &[id, worker] : workers_) {
@@ -259,6 +258,11 @@
     return submissions_.at(task.job_).plan_.steps_[task.step_];
 }
 
+auto SimulatedFleet::workOf(const SimulatedWorker &worker, const TaskRef &task) const -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>((work_ ? work_(task) : DefaultWork) * worker.relativeDuration_);
+}
+
 auto SimulatedFleet::record(std::vector<KeyedRecord> records, const std::function<void(bool)> &callback) -> void
 {
     schedule_.hook()(StoreDelay, [this, records = std::move(records), callback] {
@@ -312,7 +316,7 @@
                 }
                 together = present == plan.count_ || run.worked_.count() > 0;
             }
-            const auto work = work_ ? work_(task) : DefaultWork;
+            const auto work = workOf(worker, task);
             if (together && !worker.hangs_) {
                 run.worked_ += TimeStep;
             }
@@ -524,7 +528,7 @@
     response.report_.moreEnds_ = worker.ends_.size() > MaxListedEnds;
     response.report_.ended_.resize(std::min(worker.ends_.size(), MaxListedEnds));
     for (const auto &[task, run] : worker.runs_) {
-        const auto work = work_ ? work_(task) : DefaultWork;
+        const auto work = workOf(worker, task);
         const auto percent = static_cast<int>(100 * run.worked_ / work);
         response.report_.running_.push_back({task, run.run_, "", listedPercent_ ? listedPercent_(percent) : percent});
     }
--- a/tests/support/simulatedfleet.h
+++ b/tests/support/simulatedfleet.h
@@ -42,6 +42,8 @@
     bool failsAll_ = false;
     /// Runs make no progress.
     bool hangs_ = false;
+    /// Duration of the same work relative to a worker of ordinary speed.
+    double relativeDuration_ = 1;
 };
 
 /// A scheduler with simulated workers and a progress store on a simulated clock; checks the scheduling invariants.
@@ -88,8 +90,10 @@
     [[nodiscard]] auto now() const -> std::chrono::milliseconds;
 
     OperatorConfig config_;
+    /// Options of the next leader.
+    DispatchOptions options_;
     std::unordered_set<std::string> evacuatedZones_;
-    /// Run time of a task on a healthy worker; 2 s when not set.
+    /// Run time of a task on a healthy worker of ordinary speed; 2 s when not set.
     std::function<std::chrono::milliseconds(const TaskRef &)> work_;
     /// Maps actual to reported progress in percent; identity when not set.
     std::function<int(int)> listedPercent_;
@@ -127,6 +131,7 @@
                           const std::function<void(CommandResponse)> &callback) -> void;
     [[nodiscard]] auto clockOf(const SimulatedWorker &worker) const -> std::chrono::milliseconds;
     [[nodiscard]] auto planOf(const TaskRef &task) const -> const StepPlan &;
+    [[nodiscard]] auto workOf(const SimulatedWorker &worker, const TaskRef &task) const -> std::chrono::milliseconds;
     auto record(std::vector<KeyedRecord> records, const std::function<void(bool)> &callback) -> void;
 
     ManualSchedule schedule_;
