Stop runs for other work by the units in which they end

Preemption, reclaim and reservations use planRemoval(). Their units come from VictimUnits: a run, or all members of a gang on all workers.

--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -50,6 +50,10 @@
     std::uint64_t preemptions_ = 0;
     /// Urgent runs that were stopped for the guarantee of another team; not counted as preemptions.
     std::uint64_t reclaims_ = 0;
+    /// Placements that waited for runs that end in any case, without a stop.
+    std::uint64_t awaitedEnds_ = 0;
+    /// Work that stops for other work have lost; an accelerator counts as eight cores.
+    double stoppedCoreSeconds_ = 0;
     std::uint64_t stalls_ = 0;
     std::uint64_t moves_ = 0;
     /// Placements for which preferences were given up.
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -93,6 +93,8 @@
     std::uint32_t active_ = 0;
     /// Workers on which a run of the job failed quickly. Not stored.
     std::set<WorkerId> failedQuicklyOn_;
+    /// When runs of the job were last stopped for other work; zero for never. Not stored.
+    BootTime stoppedForOthersAt_{};
 
     /// True once no further run may start.
     [[nodiscard]] auto isClosed() const -> bool
--- a/marjoramfold/dispatch/placementrequest.h
+++ b/marjoramfold/dispatch/placementrequest.h
@@ -65,10 +65,14 @@
     std::vector<WorkerSession *> workers_;
     /// Away from the data, or a gang across racks: the tasks run slower.
     bool remote_ = false;
-    /// Runs that must stop first, with their workers; empty when the capacity is free now.
+    /// Runs that must be stopped first, with their workers.
     std::vector<std::pair<WorkerSession *, RunKey>> victims_;
     /// The preferences that had kept the step waiting for too long and were given up.
     PreferenceSet givenUp_{};
+    /// The capacity becomes free only with the end of runs: of the victims, or of runs that end in any case.
+    bool awaitsEnds_ = false;
+    /// Core-seconds of work that the victims have done and not saved; an accelerator counts as eight cores.
+    double lostWork_ = 0;
 };
 
 /// Numbers of workers by state, to log why a request cannot be placed.
--- a/marjoramfold/dispatch/reclaimbudget.cpp
+++ b/marjoramfold/dispatch/reclaimbudget.cpp
@@ -29,6 +29,12 @@
     return {key.first.job_, key.first.occurrence_, key.first.step_, key.second};
 }
 
+auto ReclaimBudget::excessOf(const TeamId &team) const -> std::int64_t
+{
+    const auto found = excess_.find(team);
+    return found == excess_.end() ? 0 : found->second;
+}
+
 auto ReclaimBudget::canTake(const RunKey &key, const WorkerRun &run) const -> bool
 {
     if (run.priority_ > 0 || run.stage_ == RunStage::Stopping) {
@@ -41,8 +47,7 @@
     if (run.gangSize_ > 1 && stoppedGangs_.contains(gangOf(key))) {
         return true;
     }
-    const auto found = excess_.find(run.team_);
-    return found != excess_.end() && found->second >= run.demand_.accelerators_ * run.gangSize_;
+    return excessOf(run.team_) >= run.demand_.accelerators_ * run.gangSize_;
 }
 
 auto ReclaimBudget::take(const RunKey &key, const WorkerRun &run) -> bool
--- a/marjoramfold/dispatch/reclaimbudget.h
+++ b/marjoramfold/dispatch/reclaimbudget.h
@@ -23,6 +23,9 @@
 public:
     ReclaimBudget(const WorkerSessionMap &sessions, const GuaranteeOf &guaranteeOf);
 
+    /// Accelerators that may be reclaimed from a team; negative for a team below its guarantee.
+    [[nodiscard]] auto excessOf(const TeamId &team) const -> std::int64_t;
+
     /// True when a run may be stopped: its team keeps its guarantee, also without the rest of the run's gang.
     [[nodiscard]] auto canTake(const RunKey &key, const WorkerRun &run) const -> bool;
 
--- a/marjoramfold/dispatch/removalsearch.cpp
+++ b/marjoramfold/dispatch/removalsearch.cpp
@@ -1,9 +1,12 @@
+#include "marjoramfold/dispatch/removalplan.h"
+#include "marjoramfold/dispatch/victimunits.h"
 #include "marjoramfold/dispatch/workerselector.h"
 
 #include <algorithm>
-#include <iterator>
+#include <cstdint>
+#include <map>
+#include <memory>
 #include <optional>
-#include <set>
 #include <utility>
 
 namespace Marjoramfold
@@ -12,148 +15,187 @@
 
 namespace
 {
-/// Cores that one accelerator counts for in preemption costs.
-constexpr double CoresPerAccelerator = 8.0;
+/// Factor by which urgent work costs more, so that it is stopped after all other work, and of it that with the smallest loss.
+constexpr double UrgentVictimWeight = 1e6;
 
-/// Cost of a restart besides the lost work: the stop, the wait for capacity and the restore.
-constexpr double RestartOverheadSeconds = 1.0;
+constexpr auto NoIndex = VictimUnits::NoWorker;
 
-/// Added to the cost of stopping urgent work, so that less urgent work is stopped first.
-constexpr double UrgentVictimCost = 1e6;
-
-/// Core-seconds that are lost when a run is stopped now together with its gang.
-auto preemptionCost(const WorkerRun &run, BootTime now) -> double
+/// Builds the removal problems of a request, one for each group of workers. Units that a group's workers do not touch are left out.
+class ProblemBuilder
 {
-    const auto startedAt = run.acceptedAt_ == BootTime{} ? run.placedAt_ : run.acceptedAt_;
-    const auto seconds = std::chrono::duration<double>(now - startedAt).count();
-    const auto cores = static_cast<double>(run.demand_.milliCores_) / 1000.0 + CoresPerAccelerator * static_cast<double>(run.demand_.accelerators_);
-    return (RestartOverheadSeconds + (run.checkpointsOnStop_ ? 0.0 : seconds)) * cores * run.gangSize_;
-}
-} // namespace
+public:
+    ProblemBuilder(const VictimUnits &victims, const PlacementRequest &request, const VictimTerms &termsOf, const ReclaimBudget *budget)
+        : victims_(victims)
+        , request_(request)
+        , termsOf_(termsOf)
+        , budget_(budget)
+        , indexOf_(victims.units().size(), NoIndex)
+    {
+    }
 
-auto WorkerSelector::removalOptions(const Candidate &candidate, const PlacementRequest &request, const RemovalCost &costOf, const ReclaimBudget *budget)
-    -> std::vector<RemovalOption>
-{
-    const auto &session = *candidate.session_;
-    const auto limit = request.taskLimitAt(session.entry_.id_, request.count_);
-    std::vector<std::pair<double, RunKey>> runs;
-    for (const auto &[key, run] : session.runs_) {
-        if (const auto cost = costOf(run); cost) {
-            runs.emplace_back(*cost, key);
+    /// Starts the problem of the next group; `workers` are positions among the usable workers.
+    auto begin(const std::vector<std::size_t> &workers, std::size_t usableWorkers) -> void
+    {
+        for (const auto unit : unitOf_) {
+            indexOf_[unit] = NoIndex;
         }
+        unitOf_.clear();
+        accountOf_.clear();
+        workerIndexOf_.assign(usableWorkers, NoIndex);
+        for (std::size_t i = 0; i < workers.size(); ++i) {
+            workerIndexOf_[workers[i]] = i;
+        }
+        problem_ = {};
+        problem_.task_ = request_.step_->task_;
+        problem_.count_ = request_.count_;
+        problem_.required_ = request_.step_->gang_ ? request_.count_ : 1;
     }
-    std::sort(runs.begin(), runs.end());
-    // Copied for the first run that the budget limits.
-    std::optional<ReclaimBudget> left;
-    auto free = candidate.free_;
-    std::vector<RemovalOption> options;
-    RemovalOption option{&candidate, countFitting(free, request.step_->task_, limit), 0, {}};
-    if (option.fits_ > 0) {
-        options.push_back(option);
-    }
-    for (const auto &[cost, key] : runs) {
-        const auto &run = session.runs_.at(key);
-        if (budget != nullptr && run.priority_ == 0) {
-            if (!budget->canTake(key, run)) {
-                continue;
-            }
-            if (!left) {
-                left = *budget;
-            }
-            if (!left->take(key, run)) {
-                continue;
+
+    /// Adds a worker of the group, in the order given to begin(), and the units that use it.
+    auto addWorker(std::size_t worker, const WorkerSession &session, const ResourceVector &free) -> void
+    {
+        problem_.workers_.push_back({free, request_.taskLimitAt(session.entry_.id_, request_.count_)});
+        for (const auto unit : victims_.unitsAt(worker)) {
+            if (indexOf_[unit] == NoIndex) {
+                addUnit(unit);
             }
         }
-        free += run.demand_;
-        option.cost_ += cost;
-        option.victims_.push_back(key);
-        const auto fits = countFitting(free, request.step_->task_, limit);
-        if (fits > option.fits_) {
-            option.fits_ = fits;
-            options.push_back(option);
-        }
     }
-    return options;
-}
 
-auto WorkerSelector::takeVictims(const RemovalOption &option, ReclaimBudget *budget) -> bool
-{
-    if (budget == nullptr) {
-        return true;
-    }
-    auto left = *budget;
-    for (const auto &key : option.victims_) {
-        const auto &run = option.candidate_->session_->runs_.at(key);
-        if (!left.take(key, run)) {
-            return false;
-        }
+    [[nodiscard]] auto problem() const -> const RemovalProblem &
+    {
+        return problem_;
     }
-    *budget = std::move(left);
-    return true;
-}
 
-auto WorkerSelector::selectAfterRemoval(const Group &group,
-                                        const PlacementRequest &request,
-                                        const RemovalCost &costOf,
-                                        std::optional<ReclaimBudget> budget) const -> std::optional<std::pair<PlacementDecision, double>>
-{
-    auto *const limits = budget ? &*budget : nullptr;
-    std::vector<RemovalOption> options;
-    for (const auto *candidate : group) {
-        auto found = removalOptions(*candidate, request, costOf, limits);
-        std::move(found.begin(), found.end(), std::back_inserter(options));
+    /// The unit of the sessions for a unit of the problem.
+    [[nodiscard]] auto unitOf(std::size_t index) const -> const VictimUnit &
+    {
+        return victims_.units()[unitOf_[index]];
     }
-    std::stable_sort(options.begin(), options.end(), [](const RemovalOption &left, const RemovalOption &right) {
-        return left.cost_ / left.fits_ < right.cost_ / right.fits_;
-    });
-    PlacementDecision placement;
-    double cost = 0;
-    std::set<const Candidate *> used;
-    for (auto &option : options) {
-        if (placement.workers_.size() >= request.count_ || used.contains(option.candidate_)) {
-            continue;
+
+private:
+    auto addUnit(std::size_t number) -> void
+    {
+        const auto &unit = victims_.units()[number];
+        const auto cost = termsOf_(unit);
+        if (!cost) {
+            return;
         }
-        if (!takeVictims(option, limits)) {
-            // Options chosen before have used up a part of the budget.
-            const auto remaining = removalOptions(*option.candidate_, request, costOf, limits);
-            if (remaining.empty() || !takeVictims(remaining.back(), limits)) {
+        RemovalProblem::Unit entry{*cost, problem_.freed_.size(), 0, std::nullopt, 0};
+        for (auto i = unit.firstMember_; i < unit.endMember_; ++i) {
+            const auto &member = victims_.members()[i];
+            const auto worker = member.worker_ == NoIndex ? NoIndex : workerIndexOf_[member.worker_];
+            if (worker == NoIndex) {
                 continue;
             }
-            option = remaining.back();
+            if (problem_.freed_.size() > entry.firstFreed_ && problem_.freed_.back().first == worker) {
+                problem_.freed_.back().second += member.run_->demand_;
+            } else {
+                problem_.freed_.emplace_back(worker, member.run_->demand_);
+            }
         }
-        used.insert(option.candidate_);
-        cost += option.cost_;
-        for (std::uint32_t i = 0; i < option.fits_ && placement.workers_.size() < request.count_; ++i) {
-            placement.workers_.push_back(option.candidate_->session_);
+        entry.endFreed_ = problem_.freed_.size();
+        const auto &run = *victims_.anyMember(unit).run_;
+        if (budget_ != nullptr && run.priority_ == 0 && !unit.endsSoon_ && !victims_.isStopping(unit)) {
+            entry.account_ = accountOf(run.team_);
+            entry.charge_ = run.demand_.accelerators_ * run.gangSize_;
         }
-        for (const auto &victim : option.victims_) {
-            placement.victims_.emplace_back(option.candidate_->session_, victim);
+        indexOf_[number] = problem_.units_.size();
+        unitOf_.push_back(number);
+        problem_.units_.push_back(entry);
+    }
+
+    auto accountOf(const TeamId &team) -> std::size_t
+    {
+        const auto [found, added] = accountOf_.try_emplace(team, problem_.accounts_.size());
+        if (added) {
+            problem_.accounts_.push_back(budget_->excessOf(team));
         }
+        return found->second;
     }
-    if (placement.workers_.size() < (request.step_->gang_ ? request.count_ : 1)) {
-        return std::nullopt;
+
+    const VictimUnits &victims_;
+    const PlacementRequest &request_;
+    const VictimTerms &termsOf_;
+    const ReclaimBudget *budget_;
+    RemovalProblem problem_;
+    /// Index in the problem by unit, and the reverse.
+    std::vector<std::size_t> indexOf_;
+    std::vector<std::size_t> unitOf_;
+    std::vector<std::size_t> workerIndexOf_;
+    std::map<TeamId, std::size_t> accountOf_;
+};
+} // namespace
+
+auto WorkerSelector::setVictimHooks(VictimHooks hooks) -> void
+{
+    victimHooks_ = std::move(hooks);
+}
+
+auto WorkerSelector::makeVictimUnits() const -> VictimUnits
+{
+    std::vector<const WorkerSession *> usable;
+    usable.reserve(candidates_.size());
+    for (const auto &candidate : candidates_) {
+        usable.push_back(candidate.session_);
     }
-    return std::pair(std::move(placement), cost);
+    return {sessions_, usable, victimHooks_, now_};
 }
 
-auto WorkerSelector::cheapestAfterRemoval(const PlacementRequest &request, bool local, const RemovalCost &costOf, const std::optional<ReclaimBudget> &budget)
-    -> std::optional<PlacementDecision>
+auto WorkerSelector::victimUnits() -> const VictimUnits &
 {
-    std::optional<std::pair<PlacementDecision, double>> best;
+    // Runs that are placed later in the pass cannot be stopped, and stops show in the stages, so that one collection serves all searches.
+    if (!victimUnits_) {
+        victimUnits_ = std::make_unique<VictimUnits>(makeVictimUnits());
+    }
+    return *victimUnits_;
+}
+
+auto WorkerSelector::cheapestAfterRemoval(const PlacementRequest &request,
+                                          bool local,
+                                          const VictimUnits &victims,
+                                          const VictimTerms &termsOf,
+                                          const ReclaimBudget *budget) -> std::optional<PlacementDecision>
+{
+    std::optional<PlacementDecision> best;
+    auto bestCost = 0.0;
     const auto couldHold = [&request](const Candidate &candidate) {
         return candidate.session_->entry_.capacity_.covers(request.step_->task_);
     };
+    ProblemBuilder builder(victims, request, termsOf, budget);
     for (const auto &group : groupsFor(request, local, couldHold)) {
-        auto option = selectAfterRemoval(group, request, costOf, budget);
-        if (option && (!best || option->second < best->second)) {
-            best = std::move(option);
+        std::vector<std::size_t> workers;
+        for (const auto *candidate : group) {
+            workers.push_back(static_cast<std::size_t>(candidate - candidates_.data()));
+        }
+        builder.begin(workers, candidates_.size());
+        for (const auto worker : workers) {
+            builder.addWorker(worker, *candidates_[worker].session_, candidates_[worker].free_);
+        }
+        const auto plan = planRemoval(builder.problem());
+        if (!plan || (best && plan->cost_ >= bestCost)) {
+            continue;
+        }
+        bestCost = plan->cost_;
+        best = PlacementDecision{};
+        best->remote_ = !local;
+        for (const auto worker : plan->taskWorkers_) {
+            best->workers_.push_back(group[worker]->session_);
+        }
+        best->awaitsEnds_ = !plan->units_.empty();
+        for (const auto index : plan->units_) {
+            const auto &unit = builder.unitOf(index);
+            // The other members of a gang that ends already follow the one that was stopped.
+            if (unit.endsSoon_ || victims.isEnding(unit)) {
+                continue;
+            }
+            best->lostWork_ += unit.lostWork_;
+            for (auto i = unit.firstMember_; i < unit.endMember_; ++i) {
+                best->victims_.emplace_back(victims.members()[i].session_, *victims.members()[i].key_);
+            }
         }
     }
-    if (!best) {
-        return std::nullopt;
-    }
-    best->first.remote_ = !local;
-    return std::move(best->first);
+    return best;
 }
 
 auto WorkerSelector::findPlacementByPreemption(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
@@ -161,16 +203,17 @@
     if (failed_.contains(request, local, FailedRequests::Search::Preemption)) {
         return std::nullopt;
     }
-    const auto costOf = [this, &request](const WorkerRun &run) -> std::optional<double> {
-        if (run.stage_ == RunStage::Stopping) {
+    const auto &victims = victimUnits();
+    const VictimTerms termsOf = [&victims, &request](const VictimUnit &unit) -> std::optional<double> {
+        if (victims.isEnding(unit)) {
             return 0.0;
         }
-        if (run.priority_ <= request.priority_ || run.stage_ == RunStage::Recorded) {
+        if (victims.anyMember(unit).run_->priority_ <= request.priority_ || victims.isUnsent(unit)) {
             return std::nullopt;
         }
-        return preemptionCost(run, now_);
+        return unit.endsSoon_ ? 0.0 : unit.loss_;
     };
-    auto choice = cheapestAfterRemoval(request, local, costOf, std::nullopt);
+    auto choice = cheapestAfterRemoval(request, local, victims, termsOf, nullptr);
     if (!choice) {
         failed_.add(request, local, FailedRequests::Search::Preemption);
     }
@@ -182,30 +225,38 @@
     if (failed_.contains(request, local, FailedRequests::Search::Reclaim)) {
         return std::nullopt;
     }
-    const auto costOf = [this](const WorkerRun &run) -> std::optional<double> {
-        if (run.stage_ == RunStage::Stopping) {
+    const auto &victims = victimUnits();
+    // Stops that were decided earlier in this pass show in the stages of the runs.
+    ReclaimBudget budget(sessions_, guaranteeOf_);
+    const VictimTerms termsOf = [&victims, &budget](const VictimUnit &unit) -> std::optional<double> {
+        if (victims.isEnding(unit)) {
             return 0.0;
         }
-        if (run.stage_ == RunStage::Recorded) {
+        const auto &[session, key, run, worker] = victims.anyMember(unit);
+        if (victims.isUnsent(unit) || !budget.canTake(*key, *run)) {
             return std::nullopt;
         }
-        return preemptionCost(run, now_) + (run.priority_ == 0 ? UrgentVictimCost : 0.0);
+        return unit.endsSoon_ ? 0.0 : unit.loss_ * (run->priority_ == 0 ? UrgentVictimWeight : 1.0);
     };
-    // Stops that were decided earlier in this pass show in the stages of the runs.
-    auto choice = cheapestAfterRemoval(request, local, costOf, ReclaimBudget(sessions_, guaranteeOf_));
-    if (!choice) {
+    auto choice = cheapestAfterRemoval(request, local, victims, termsOf, &budget);
+    const auto isAllowed = choice && std::all_of(choice->victims_.begin(), choice->victims_.end(), [&budget](const auto &victim) {
+                               return budget.take(victim.second, victim.first->runs_.at(victim.second));
+                           });
+    if (!isAllowed) {
         failed_.add(request, local, FailedRequests::Search::Reclaim);
+        return std::nullopt;
     }
     return choice;
 }
 
 auto WorkerSelector::findReservation(const PlacementRequest &request, bool local) -> std::vector<WorkerSession *>
 {
-    const auto costOf = [this](const WorkerRun &run) -> std::optional<double> {
-        const auto left = std::chrono::duration<double>(run.expected_) - std::chrono::duration<double>(now_ - run.placedAt_);
-        return std::max(0.1, left.count());
+    // Collected anew, since the capacity of runs that were placed in this pass becomes free as well.
+    const auto victims = makeVictimUnits();
+    const auto termsOf = [](const VictimUnit &unit) -> std::optional<double> {
+        return unit.remainingSeconds_;
     };
-    const auto found = cheapestAfterRemoval(request, local, costOf, std::nullopt);
+    const auto found = cheapestAfterRemoval(request, local, victims, termsOf, nullptr);
     return found ? found->workers_ : std::vector<WorkerSession *>{};
 }
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -2,6 +2,7 @@
 #include "marjoramfold/observability/logline.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <optional>
 #include <set>
@@ -42,6 +43,13 @@
         return hooks_.config_().guaranteedAccelerators(team);
     };
     WorkerSelector selector(sessions_.all(), hooks_.evacuatedZones_(), guaranteeOf, options_.quarantineTime_, BootClock::now());
+    selector.setVictimHooks({[now = selector.takenAt()](const WorkerSession &session, const WorkerRun &run) {
+                                 return remainingRunTime(session, run, now);
+                             },
+                             [this](const JobId &id) {
+                                 const auto *job = findJob(id);
+                                 return job == nullptr ? BootTime{} : job->stoppedForOthersAt_;
+                             }});
     TeamUse urgentUse;
     auto ready = readySteps(urgentUse);
     orderSteps(ready, std::move(urgentUse));
@@ -282,7 +290,7 @@
         reserveWorkers(selector, ready, request, reservations);
         return;
     }
-    if (!choice->victims_.empty()) {
+    if (choice->awaitsEnds_) {
         preempt(selector, ready, *choice);
         return;
     }
@@ -291,6 +299,15 @@
 
 auto FleetScheduler::preempt(WorkerSelector &selector, const ReadyStep &ready, const PlacementDecision &choice) -> void
 {
+    counts_.stoppedCoreSeconds_ += choice.lostWork_;
+    counts_.awaitedEnds_ += choice.victims_.empty() ? 1 : 0;
+    LogLine(LogSeverity::Info, "ends_awaited")
+        .job(ready.job_->submission_.id_.value())
+        .with("step", ready.rank_.step_)
+        .with("tasks", choice.workers_.size())
+        .with("stopped", choice.victims_.size())
+        .with("lost_core_s", std::llround(choice.lostWork_))
+        .with("within_guarantee", ready.rank_.urgencyClass_ == 0 && ready.rank_.beyondGuarantee_ == 0);
     for (const auto &[session, key] : choice.victims_) {
         const auto &victim = session->runs_.at(key);
         if (victim.stage_ == RunStage::Stopping) {
@@ -306,6 +323,9 @@
             .with("team", victim.team_.value())
             .with("for_job", ready.job_->submission_.id_.value())
             .with("for_team", ready.job_->submission_.team_.value());
+        if (auto *job = findJob(key.first.job_); job != nullptr) {
+            job->stoppedForOthersAt_ = BootClock::now();
+        }
         sessions_.stop(session->entry_.id_, key.first, key.second);
     }
     auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -3,6 +3,7 @@
 #include "marjoramfold/dispatch/failedrequests.h"
 #include "marjoramfold/dispatch/placementrequest.h"
 #include "marjoramfold/dispatch/reclaimbudget.h"
+#include "marjoramfold/dispatch/victimunits.h"
 #include "marjoramfold/dispatch/workersession.h"
 
 #include <chrono>
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,6 +21,9 @@
 
 namespace Marjoramfold
 {
+/// Cost of ending a unit; empty when it must stay.
+using VictimTerms = std::function<std::optional<double>(const VictimUnit &)>;
+
 /// Chooses workers for placement requests, based on a snapshot of the worker sessions.
 class WorkerSelector
 {
@@ -31,6 +36,9 @@
                    std::chrono::milliseconds lastResortDelay,
                    BootTime now);
 
+    /// Sets what the choice of victims needs to know of runs and jobs. Without, no end is awaited and no job counts as stopped before.
+    auto setVictimHooks(VictimHooks hooks) -> void;
+
     /// When the snapshot was taken.
     [[nodiscard]] auto takenAt() const -> BootTime;
 
@@ -114,9 +122,6 @@
     /// True when less than half of the pool's least used resource is in use, of all workers or of those that respond.
     [[nodiscard]] auto isUnderHalfUsed(const std::string &pool) -> bool;
 
-    /// Cost of removing a run; empty when the run must stay.
-    using RemovalCost = std::function<std::optional<double>(const WorkerRun &)>;
-
     /// True when the worker has the request's pool and label.
     [[nodiscard]] static auto matches(const Candidate &candidate, const PlacementRequest &request) -> bool;
     [[nodiscard]] static auto eligible(const Candidate &candidate, const PlacementRequest &request) -> bool;
@@ -132,26 +137,13 @@
     [[nodiscard]] auto fitsCapacity(const PlacementRequest &request) -> bool;
     [[nodiscard]] auto candidateOf(const WorkerSession &session) -> Candidate *;
     [[nodiscard]] auto selectWorkers(const Group &group, const PlacementRequest &request) const -> std::vector<WorkerSession *>;
-    /// Number of tasks that fit on a worker once some of its runs are removed.
-    struct RemovalOption {
-        const Candidate *candidate_ = nullptr;
-        std::uint32_t fits_ = 0;
-        double cost_ = 0;
-        std::vector<RunKey> victims_;
-    };
-
-    /// Options of one worker, the cheapest runs removed first. A null `budget` sets no limit to the removed runs.
-    [[nodiscard]] static auto
-    removalOptions(const Candidate &candidate, const PlacementRequest &request, const RemovalCost &costOf, const ReclaimBudget *budget)
-        -> std::vector<RemovalOption>;
-    /// Takes an option's runs from the budget; returns false and changes nothing if one of them cannot be taken.
-    [[nodiscard]] static auto takeVictims(const RemovalOption &option, ReclaimBudget *budget) -> bool;
+    /// Placement with the smallest cost of the runs that have to end first. A null `budget` sets no limit to urgent runs.
     [[nodiscard]] auto
-    selectAfterRemoval(const Group &group, const PlacementRequest &request, const RemovalCost &costOf, std::optional<ReclaimBudget> budget) const
-        -> std::optional<std::pair<PlacementDecision, double>>;
-
-    [[nodiscard]] auto cheapestAfterRemoval(const PlacementRequest &request, bool local, const RemovalCost &costOf, const std::optional<ReclaimBudget> &budget)
+    cheapestAfterRemoval(const PlacementRequest &request, bool local, const VictimUnits &victims, const VictimTerms &termsOf, const ReclaimBudget *budget)
         -> std::optional<PlacementDecision>;
+    /// The runs of all workers by units; collected once a pass.
+    [[nodiscard]] auto victimUnits() -> const VictimUnits &;
+    [[nodiscard]] auto makeVictimUnits() const -> VictimUnits;
 
     [[nodiscard]] static auto isIdle(const Candidate &candidate) -> bool;
 
@@ -165,6 +157,9 @@
     /// In the order of the worker ids.
     std::vector<Candidate> candidates_;
     FailedRequests failed_;
+    VictimHooks victimHooks_;
+    /// Null until the first search that needs it.
+    std::unique_ptr<VictimUnits> victimUnits_;
     /// Empty until the first request that asks for it.
     std::map<std::string, PoolUse> poolUse_;
     /// Free accelerators by rack; empty until the first request that needs one rack.
--- a/marjoramfold/node/instancemetrics.cpp
+++ b/marjoramfold/node/instancemetrics.cpp
@@ -52,6 +52,8 @@
         {"lost", counts.lostRuns_},
         {"preemption", counts.preemptions_},
         {"reclaim", counts.reclaims_},
+        {"awaited_end", counts.awaitedEnds_},
+        {"stopped_core_second", static_cast<std::uint64_t>(counts.stoppedCoreSeconds_)},
         {"stall", counts.stalls_},
         {"move", counts.moves_},
         {"waived_placement", counts.waivedPlacements_},
--- a/tests/unit/test_guarantees.cpp
+++ b/tests/unit/test_guarantees.cpp
@@ -213,3 +213,138 @@
     }
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
+
+TEST_CASE("runs that end together are stopped together", "[dispatch][guarantee]")
+{
+    TwoTeams teams;
+    auto &fleet = teams.fleet_;
+
+    SECTION("a gang within the guarantee starts in the room of one of the gangs that fill all workers")
+    {
+        // Guards against a search that stops one member on each of several workers: each ends its whole gang, and after three gangs the other
+        // team is at its guarantee, although the first one would have made room.
+        for (int i = 0; i < 6; ++i) {
+            fleet.submit(asGang(teams.borrow("a" + std::to_string(i), 8)));
+            fleet.advance(100ms);
+        }
+        fleet.advance(500ms);
+        REQUIRE(teams.use("a") == 48);
+        fleet.submit(asGang(TwoTeams::owed(8)));
+        fleet.advance(StartDeadline);
+        CHECK(fleet.starts_[OwedJob].size() == 8);
+        CHECK(teams.use("b") == 8);
+        CHECK(teams.use("a") == 40);
+        CHECK(fleet.scheduler_->counts().reclaims_ == 8);
+    }
+
+    SECTION("a gang within the guarantee, in the room of gangs that are spread over the workers")
+    {
+        for (int i = 0; i < 2; ++i) {
+            auto spread = asGang(teams.borrow("a" + std::to_string(i), 24));
+            spread.plan_.steps_[0].prefersOneRack_ = false;
+            spread.plan_.steps_[0].maxPerWorker_ = 4;
+            fleet.submit(spread);
+            fleet.advance(100ms);
+        }
+        fleet.advance(500ms);
+        REQUIRE(teams.use("a") == 48);
+        fleet.submit(asGang(TwoTeams::owed(12)));
+        fleet.advance(StartDeadline);
+        CHECK(fleet.starts_[OwedJob].size() == 12);
+        CHECK(teams.use("a") == 24);
+    }
+
+    SECTION("the loss of a gang counts once, although it makes room on several workers")
+    {
+        // Guards against a cost that counts a gang once for each of its members, by which much older work is stopped in its place.
+        auto tasks = teams.borrow("a1", 3, WholeWorkerTask);
+        tasks.queue_ = "batch";
+        tasks.plan_.steps_[0].checkpoints_ = false;
+        fleet.submit(tasks);
+        fleet.advance(10s);
+        auto gang = asGang(tasks);
+        gang.id_ = JobId("00000000000000a2");
+        fleet.submit(gang);
+        fleet.advance(2s);
+        REQUIRE(teams.use("a") == 48);
+        fleet.submit(asGang(TwoTeams::owed(2, WholeWorkerTask)));
+        fleet.advance(StartDeadline);
+        CHECK(fleet.starts_[OwedJob].size() == 2);
+        CHECK(teams.use("a1") == 24);
+        CHECK(teams.use("a2") == 0);
+        CHECK(fleet.scheduler_->counts().preemptions_ == 3);
+    }
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
+
+TEST_CASE("work is stopped for other work no more often than needed", "[dispatch][guarantee]")
+{
+    TwoTeams teams;
+    auto &fleet = teams.fleet_;
+    const auto batch = [&teams](const std::string &id) {
+        auto job = teams.borrow(id, 1, WholeWorkerTask);
+        job.queue_ = "batch";
+        return job;
+    };
+    const auto urgent = [](int number) {
+        auto job = TwoTeams::owed(1, WholeWorkerTask);
+        job.id_ = JobId("00000000000000b" + std::to_string(number));
+        return job;
+    };
+
+    SECTION("the same job is not stopped again while others can be stopped")
+    {
+        // Guards against a restarted job that is always the cheapest to stop, because it has lost little so far.
+        for (int i = 0; i < 6; ++i) {
+            fleet.submit(batch("a" + std::to_string(i)));
+        }
+        fleet.advance(1s);
+        REQUIRE(teams.use("a") == 48);
+        for (int i = 0; i < 6; ++i) {
+            fleet.submit(urgent(i));
+            fleet.advance(6s);
+        }
+        CHECK(fleet.scheduler_->counts().preemptions_ == 6);
+        for (int i = 0; i < 6; ++i) {
+            CHECK(fleet.starts_[JobId("00000000000000a" + std::to_string(i))].size() == 2);
+        }
+    }
+
+    SECTION("a run that is about to end is waited for")
+    {
+        auto shortJob = batch("c1");
+        shortJob.plan_.steps_[0].estimate_ = 5s;
+        shortJob.plan_.steps_[0].checkpoints_ = false;
+        fleet.submit(shortJob);
+        for (int i = 0; i < 5; ++i) {
+            fleet.submit(batch("a" + std::to_string(i)));
+        }
+        fleet.advance(4'800ms);
+        fleet.submit(urgent(1));
+        fleet.advance(1s);
+        CHECK(fleet.phaseOf(shortJob.id_) == JobPhase::Completed);
+        CHECK(fleet.starts_[urgent(1).id_].size() == 1);
+        CHECK(fleet.scheduler_->counts().preemptions_ == 0);
+    }
+
+    SECTION("an estimate that is too short delays urgent work by no more than the wait for it")
+    {
+        // A run may stay at its last percent for long.
+        fleet.listedPercent_ = [](int percent) {
+            return percent < 5 ? percent : 99;
+        };
+        fleet.work_ = [](const TaskRef &task) {
+            return task.job_.value().starts_with("00000000000000a") ? 90'000ms : 500ms;
+        };
+        for (int i = 0; i < 6; ++i) {
+            fleet.submit(batch("a" + std::to_string(i)));
+        }
+        fleet.advance(5'750ms);
+        fleet.submit(urgent(1));
+        fleet.advance(1'500ms);
+        CHECK(fleet.starts_[urgent(1).id_].size() == 1);
+        CHECK(fleet.scheduler_->counts().awaitedEnds_ > 0);
+        CHECK(fleet.scheduler_->counts().preemptions_ == 1);
+    }
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
