--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -236,6 +236,8 @@
     /// Keeps capacity for a step whose preempted runs are still being stopped; false when there are none.
     auto holdAwaitedWorkers(WorkerSelector &selector, const ReadyStep &ready) -> bool;
     auto logWaitingStep(WorkerSelector &selector, const ReadyStep &ready, const PlacementRequest &request) -> void;
+    /// Factor for the cost of stopping runs of a job, by what its caller loses; 1 unless room is shared by cost.
+    [[nodiscard]] auto delayWeightOf(const JobId &id) -> double;
     auto preempt(WorkerSelector &selector, const ReadyStep &ready, const PlacementDecision &choice) -> void;
     auto startTasks(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, const PlacementDecision &choice) -> void;
     /// The state of a new run that occupies capacity of a worker.
--- a/marjoramfold/dispatch/joborder.cpp
+++ b/marjoramfold/dispatch/joborder.cpp
@@ -7,6 +7,9 @@
 {
 namespace
 {
+/// Time for which a stopped run waits for room again; large gangs waited 3 s at the median on a full fleet.
+constexpr std::chrono::milliseconds RestartWait{3000};
+
 /// Length of the critical path over all steps, or over the unfinished ones if an occurrence is given.
 auto criticalPath(const JobPlan &plan, const OccurrenceState *occurrence, double ratio) -> std::chrono::milliseconds
 {
@@ -24,6 +27,11 @@
     }
     return longest;
 }
+/// Time from its reference time in which a job meets its objective.
+auto allowedTime(const JobPlan &plan, const QueueConfig &queue, double ratio) -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(criticalPath(plan, nullptr, ratio) * queue.stretch_) + queue.targetLatency_;
+}
 } // namespace
 
 auto expectedTime(const StepPlan &step, double ratio) -> std::chrono::milliseconds
@@ -41,7 +49,7 @@
 {
     const auto &plan = job.submission_.plan_;
     const auto since = referenceTime(job.submission_, occurrence);
-    const auto allowed = std::chrono::duration_cast<std::chrono::milliseconds>(criticalPath(plan, nullptr, ratio) * queue.stretch_) + queue.targetLatency_;
+    const auto allowed = allowedTime(plan, queue, ratio);
     const auto expectedEnd = wallNow + remainingCriticalPath(plan, job.occurrences_[occurrence], ratio);
     const auto lateEnd = since + std::chrono::duration_cast<std::chrono::milliseconds>(allowed * UsefulLatenessFactor);
     int lateness = 2;
@@ -55,4 +63,19 @@
     }
     return {1, 0, lateness, queue.priority_, since + allowed, job.submission_.id_, occurrence, step};
 }
+
+auto delayTerms(const TrackedJob &job, const QueueConfig &queue, double ratio, std::chrono::milliseconds wallNow) -> DelayTerms
+{
+    const auto &plan = job.submission_.plan_;
+    const auto since = referenceTime(job.submission_, 0);
+    const auto allowed = allowedTime(plan, queue, ratio);
+    const auto remaining = remainingCriticalPath(plan, job.occurrences_.front(), ratio);
+    DelayTerms terms;
+    // Running work is on average halfway; a stopped run starts again, in the worst case from its beginning, after it has waited for room.
+    terms.expectedEnd_ = wallNow + remaining / 2;
+    terms.expectedEndIfDelayed_ = wallNow + remaining + RestartWait;
+    terms.objective_ = since + allowed;
+    terms.lastUseful_ = since + std::chrono::duration_cast<std::chrono::milliseconds>(allowed * UsefulLatenessFactor);
+    return terms;
+}
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/joborder.h
+++ b/marjoramfold/dispatch/joborder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramfold/core/clock.h"
+#include "marjoramfold/dispatch/delaycost.h"
 #include "marjoramfold/dispatch/jobstate.h"
 #include "marjoramfold/fleet/operatorconfig.h"
 
@@ -41,4 +42,7 @@
 [[nodiscard]] auto
 rankStep(const TrackedJob &job, std::uint32_t occurrence, std::uint32_t step, const QueueConfig &queue, double ratio, std::chrono::milliseconds wallNow)
     -> StepRank;
+
+/// When a job without occurrences is expected to end, with and without a stop of its runs now, and what its queue promises.
+[[nodiscard]] auto delayTerms(const TrackedJob &job, const QueueConfig &queue, double ratio, std::chrono::milliseconds wallNow) -> DelayTerms;
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -1,4 +1,6 @@
+#include "marjoramfold/dispatch/delaycost.h"
 #include "marjoramfold/dispatch/fleetscheduler.h"
+#include "marjoramfold/dispatch/reservationpolicy.h"
 #include "marjoramfold/observability/logline.h"
 
 #include <algorithm>
@@ -12,12 +14,6 @@
 {
 namespace
 {
-/// Blocked gangs with reservations per pass; more would leave too many workers idle.
-constexpr unsigned MaxGangReservations = 2;
-/// Accelerator utilization above which workers are reserved; below it other work must never wait for a blocked gang.
-constexpr double MinReservationUtilization = 0.65;
-/// Wait after which a blocked gang gets a reservation.
-constexpr std::chrono::milliseconds ReservationDelay{1500};
 /// Log lines for waiting steps in a pass; each takes several searches of the workers.
 constexpr unsigned MaxWaitLinesPerPass = 8;
 /// Longest time for which the workers of preempted runs are awaited before others are considered.
@@ -49,7 +45,13 @@
                              [this](const JobId &id) {
                                  const auto *job = findJob(id);
                                  return job == nullptr ? BootTime{} : job->stoppedForOthersAt_;
+                             },
+                             [this](const JobId &id) {
+                                 return delayWeightOf(id);
                              }});
+    if (options_.packRacks_) {
+        selector.packRacks();
+    }
     TeamUse urgentUse;
     auto ready = readySteps(urgentUse);
     orderSteps(ready, std::move(urgentUse));
@@ -59,6 +61,17 @@
     }
 }
 
+auto FleetScheduler::delayWeightOf(const JobId &id) -> double
+{
+    auto *job = options_.shareRoomByCost_ ? findJob(id) : nullptr;
+    const auto *queue = job == nullptr ? nullptr : hooks_.config_().queueNamed(job->submission_.queue_);
+    // The occurrences of a scheduled job have objectives of their own, and a unit may be of any of them.
+    if (queue == nullptr || job->occurrences_.size() > 1) {
+        return 1;
+    }
+    return delayWeight(delayTerms(*job, *queue, runTimeRatioOf(queue->name_), hooks_.wallNow_()));
+}
+
 auto FleetScheduler::orderSteps(std::vector<ReadyStep> &ready, TeamUse urgentUse) const -> void
 {
     const auto sort = [&ready] {
@@ -273,9 +286,12 @@
 {
     const auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
     const auto now = BootClock::now();
-    const auto waits = state.waitingSince_ != BootTime{} && now - state.waitingSince_ > ReservationDelay && state.awaitedUntil_ <= now;
-    const auto mayReserve = request.step_->gang_ && waits && ready.rank_.lateness_ < 2 && reservations < MaxGangReservations;
-    if (mayReserve && selector.acceleratorUtilization(request.pool_) > MinReservationUtilization) {
+    if (!request.step_->gang_ || state.waitingSince_ == BootTime{} || state.awaitedUntil_ > now || ready.rank_.lateness_ >= 2) {
+        return;
+    }
+    const ReservationPolicy policy(options_.shareRoomByCost_);
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - state.waitingSince_);
+    if (reservations < policy.maxGangs() && policy.mayReserve(waited, reservations, selector.acceleratorUtilization(request.pool_))) {
         ++reservations;
         const auto couldFitLocally = !request.prefersLocality() || selector.couldFitLocally(request);
         for (auto *session : selector.findReservation(request, couldFitLocally)) {
--- a/marjoramfold/dispatch/victimunits.cpp
+++ b/marjoramfold/dispatch/victimunits.cpp
@@ -137,6 +137,7 @@
         }
     }
     unit.loss_ += unit.lostWork_;
+    unit.loss_ *= hooks.delayWeight_ ? hooks.delayWeight_(first.key_->first.job_) : 1.0;
 }
 
 auto VictimUnits::units() const -> const std::vector<VictimUnit> &
--- a/marjoramfold/dispatch/victimunits.h
+++ b/marjoramfold/dispatch/victimunits.h
@@ -19,6 +19,8 @@
     std::function<std::optional<std::chrono::milliseconds>(const WorkerSession &, const WorkerRun &)> remainingTime_;
     /// When runs of a job were last stopped for other work; zero for never.
     std::function<BootTime(const JobId &)> lastStopped_;
+    /// Factor for the cost of stopping runs of a job, by what the delay costs its caller.
+    std::function<double(const JobId &)> delayWeight_{};
 };
 
 /// A run that belongs to a unit.
--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -8,9 +8,6 @@
 {
 namespace
 {
-/// Share of the workers that is kept idle for urgent gangs, which need several whole workers of a rack at once.
-constexpr double IdleReserveShare = 0.06;
-
 /// A worker with progress within this time counts as healthy; faults that health checks do not detect last about 5 s.
 constexpr std::chrono::milliseconds MaxHealthyAge{4000};
 } // namespace
@@ -39,23 +36,20 @@
                 candidates_.back().speed_ = speedClassOf(candidates_.back().relativeDuration_);
             }
             if (!quarantined) {
-                auto &pool = pools_[session->entry_.pool_];
-                ++pool.workers_;
-                pool.idle_ += isIdle(candidates_.back()) ? 1 : 0;
+                idle_.addWorker(session->entry_.pool_, session->entry_.rack_.value(), isIdle(candidates_.back()));
             }
         }
     }
 }
 
-auto WorkerSelector::spareIdleWorkers(const std::string &pool) const -> std::size_t
+auto WorkerSelector::packRacks() -> void
 {
-    const auto found = pools_.find(pool);
-    if (found == pools_.end()) {
-        return 0;
-    }
-    const auto &[workers, idle] = found->second;
-    const auto reserve = static_cast<std::size_t>(static_cast<double>(workers) * IdleReserveShare);
-    return idle > reserve ? idle - reserve : 0;
+    packsRacks_ = true;
+}
+
+auto WorkerSelector::idleInRackOf(const Candidate &candidate) const -> std::size_t
+{
+    return idle_.idleInRack(candidate.session_->entry_.rack_.value());
 }
 
 auto WorkerSelector::takenAt() const -> BootTime
@@ -152,10 +146,17 @@
     // Best fit: workers with the fewest free accelerators come first, so that large tasks still find large free blocks.
     std::vector<RankedCandidate> ranked;
     const auto preferHealthy = needsHealthyWorkers(request);
-    auto spareWorkers = spareIdleWorkers(request.pool_);
+    auto spareWorkers = idle_.spareWorkers(request.pool_);
     const auto keepsReservations = request.priority_ > 0 && !request.waived_.contains(Preference::Reservation);
     const auto keepsIdleReserve = request.priority_ > 0 && !request.waived_.contains(Preference::IdleReserve);
-    for (const auto *candidate : group) {
+    auto candidates = group;
+    if (packsRacks_ && keepsIdleReserve) {
+        // Decides which idle workers remain for urgent gangs.
+        std::stable_sort(candidates.begin(), candidates.end(), [this](const Candidate *left, const Candidate *right) {
+            return idleInRackOf(*left) < idleInRackOf(*right);
+        });
+    }
+    for (const auto *candidate : candidates) {
         if (candidate->reserved_ && keepsReservations) {
             continue;
         }
@@ -173,14 +174,19 @@
         }
     }
     rankBySpeed(ranked, request);
-    std::stable_sort(ranked.begin(), ranked.end(), [](const RankedCandidate &left, const RankedCandidate &right) {
+    std::stable_sort(ranked.begin(), ranked.end(), [this](const RankedCandidate &left, const RankedCandidate &right) {
         if (left.healthRank_ != right.healthRank_) {
             return left.healthRank_ < right.healthRank_;
         }
         if (left.speedRank_ != right.speedRank_) {
             return left.speedRank_ < right.speedRank_;
         }
-        return left.candidate_->free_.accelerators_ < right.candidate_->free_.accelerators_;
+        const auto leftFree = left.candidate_->free_.accelerators_;
+        const auto rightFree = right.candidate_->free_.accelerators_;
+        if (leftFree != rightFree || !packsRacks_) {
+            return leftFree < rightFree;
+        }
+        return idleInRackOf(*left.candidate_) < idleInRackOf(*right.candidate_);
     });
     std::vector<WorkerSession *> workers;
     for (const auto &worker : ranked) {
@@ -427,7 +433,7 @@
 {
     if (auto *candidate = candidateOf(session); candidate != nullptr) {
         if (!candidate->quarantined_ && isIdle(*candidate)) {
-            --pools_[session.entry_.pool_].idle_;
+            idle_.takeIdle(session.entry_.pool_, session.entry_.rack_.value());
         }
         candidate->free_ -= demand;
         if (!rackFree_.empty() && !candidate->quarantined_) {
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramfold/dispatch/failedrequests.h"
+#include "marjoramfold/dispatch/idlereserve.h"
 #include "marjoramfold/dispatch/placementrequest.h"
 #include "marjoramfold/dispatch/reclaimbudget.h"
 #include "marjoramfold/dispatch/speedpreference.h"
@@ -41,6 +42,9 @@
     /// Sets what the choice of victims needs to know of runs and jobs. Without, no end is awaited and no job counts as stopped before.
     auto setVictimHooks(VictimHooks hooks) -> void;
 
+    /// Keeps idle workers together in few racks: work that may take idle workers takes them from the racks with the fewest.
+    auto packRacks() -> void;
+
     /// When the snapshot was taken.
     [[nodiscard]] auto takenAt() const -> BootTime;
 
@@ -123,15 +127,6 @@
         ResourceUse reachable_;
     };
 
-    /// Numbers of a pool's workers that are not quarantined.
-    struct PoolWorkers {
-        std::size_t workers_ = 0;
-        std::size_t idle_ = 0;
-    };
-
-    /// Number of a pool's idle workers beyond those that only urgent work may use.
-    [[nodiscard]] auto spareIdleWorkers(const std::string &pool) const -> std::size_t;
-
     /// True when less than half of the pool's least used resource is in use, of all workers or of those that respond.
     [[nodiscard]] auto isUnderHalfUsed(const std::string &pool) -> bool;
 
@@ -160,6 +155,9 @@
 
     [[nodiscard]] static auto isIdle(const Candidate &candidate) -> bool;
 
+    /// Number of idle workers in a candidate's rack.
+    [[nodiscard]] auto idleInRackOf(const Candidate &candidate) const -> std::size_t;
+
     /// Gangs and urgent work prefer workers with recent progress: one faulty worker fails a whole gang, and urgent work has no time
     /// for a retry.
     [[nodiscard]] static auto needsHealthyWorkers(const PlacementRequest &request) -> bool;
@@ -184,8 +182,9 @@
     std::map<std::string_view, std::int64_t> rackFree_;
     /// Quarantined candidates.
     std::size_t quarantined_ = 0;
-    /// Each pool has its own reserve of idle workers.
-    std::map<std::string_view, PoolWorkers> pools_;
+    /// Of the workers that are not quarantined.
+    IdleReserve idle_;
+    bool packsRacks_ = false;
     BootTime now_;
     bool knowsSpeeds_ = false;
 };
