--- a/bench/passcost.cpp
+++ b/bench/passcost.cpp
@@ -1,9 +1,12 @@
 // Measures the processor time of scheduling passes on a full fleet with many waiting steps.
-// Usage: passcost [WORKERS...]; default 350 1100 2900. Prints one line for each size.
+// Usage: passcost [--urgent] [WORKERS...]; default 350 1100 2900. Prints one line for each size.
+// With --urgent the fleet is full of urgent gangs, and gangs of another team are owed their guarantee. Two passes are measured: one in which
+// victims are found for all of them, and one in which no team has enough beyond its guarantee, so that all searches fail.
 
 #include "marjoramfold/dispatch/fleetscheduler.h"
 #include "marjoramfold/observability/logline.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
@@ -11,6 +14,7 @@
 #include <ctime>
 #include <functional>
 #include <map>
+#include <ratio>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -25,6 +29,12 @@
 /// Waiting steps for each hundred workers.
 constexpr int StepsPerHundredWorkers = 25;
 
+/// Gangs that wait within their team's guarantee, of four shapes, and the number of their tasks.
+constexpr int OwedGangs = 8;
+constexpr std::uint32_t OwedTasks = 5;
+/// Each result of --urgent is the mean of so many fleets.
+constexpr int UrgentFleets = 5;
+
 /// Runs scheduled functions in the order of their times.
 class Schedule
 {
@@ -34,6 +44,11 @@
         steps_.emplace(now_ + pause, std::move(step));
     }
 
+    [[nodiscard]] auto now() const -> std::chrono::milliseconds
+    {
+        return now_;
+    }
+
     auto run(std::chrono::milliseconds duration) -> void
     {
         const auto end = now_ + duration;
@@ -65,13 +80,29 @@
     return job;
 }
 
+/// An urgent gang of five tasks, as the deployments of this release have them; number % 2 decides whether it needs one rack.
+auto makeOwedGang(int number) -> Submission
+{
+    auto job = makeJob(number, OwedTasks, std::int64_t{1} << (number / 2 % 4), true);
+    job.queue_ = "urgent";
+    job.team_ = TeamId("b");
+    job.plan_.steps_[0].prefersOneRack_ = number % 2 == 0;
+    return job;
+}
+
 /// A scheduler whose workers accept everything and never end a run.
 class Fleet
 {
 public:
-    explicit Fleet(int workers)
+    /// `borrowed` is what team "a" may use beyond its guarantee.
+    explicit Fleet(int workers, std::int64_t borrowed = 0)
         : workers_(workers)
-        , config_(1, {makeQueue()}, {{"pool", false, false}}, {{TeamId("team"), {"key"}, 8}})
+        , config_(1,
+                  {makeQueue("batch", 2), makeQueue("urgent", 0)},
+                  {{"pool", false, false}},
+                  {{TeamId("team"), {"key"}, 8},
+                   {TeamId("a"), {"key-a"}, workers * std::int64_t{8} - borrowed},
+                   {TeamId("b"), {"key-b"}, OwedGangs * OwedTasks * std::int64_t{8}}})
         , scheduler_({}, 1, makeCalls(), makeHooks(), [] {})
     {
         for (int i = 0; i < workers; ++i) {
@@ -101,6 +132,55 @@
         schedule_.run(std::chrono::seconds(1));
     }
 
+    /// Fills all accelerators with urgent gangs of team "a", and what is left with its single tasks. Then adds gangs of team "b".
+    auto fillWithUrgentRuns() -> void
+    {
+        int number = 0;
+        // The largest first, each for a quarter of the accelerators, so that no room is left.
+        for (std::int64_t size = 8; size > 0; size /= 2) {
+            for (auto left = workers_ * std::int64_t{2}; left >= size;) {
+                auto job = makeJob(number++, OwedTasks, size, left >= size * OwedTasks);
+                auto &step = job.plan_.steps_[0];
+                step.count_ = step.gang_ ? OwedTasks : 1;
+                step.prefersOneRack_ = false;
+                job.queue_ = "urgent";
+                job.team_ = TeamId("a");
+                left -= step.count_ * size;
+                scheduler_.addJob(job, JobPhase::Queued);
+            }
+            schedule_.run(std::chrono::seconds(1));
+        }
+        for (int i = 0; i < OwedGangs; ++i) {
+            auto job = makeOwedGang(number + i);
+            job.plan_.steps_[0].estimate_ = std::chrono::milliseconds(1);
+            scheduler_.addJob(job, JobPhase::Queued);
+        }
+    }
+
+    /// Processor time of the most expensive one of some passes.
+    auto measureMost() -> std::chrono::microseconds
+    {
+        std::clock_t most = 0;
+        for (int i = 0; i < Passes; ++i) {
+            scheduler_.requestPass();
+            const auto startedAt = std::clock();
+            schedule_.run(std::chrono::milliseconds(10));
+            most = std::max(most, std::clock() - startedAt);
+        }
+        return std::chrono::microseconds(most * std::micro::den / CLOCKS_PER_SEC);
+    }
+
+    /// Runs that were stopped for guarantees.
+    [[nodiscard]] auto reclaims() const -> std::uint64_t
+    {
+        return scheduler_.counts().reclaims_;
+    }
+
+    [[nodiscard]] auto now() const -> std::chrono::milliseconds
+    {
+        return schedule_.now();
+    }
+
     /// Processor time of a pass.
     auto measure() -> std::chrono::microseconds
     {
@@ -115,12 +195,12 @@
     }
 
 private:
-    static auto makeQueue() -> QueueConfig
+    static auto makeQueue(const std::string &name, int priority) -> QueueConfig
     {
         QueueConfig queue;
-        queue.name_ = "batch";
+        queue.name_ = name;
         queue.pool_ = "pool";
-        queue.priority_ = 2;
+        queue.priority_ = priority;
         queue.maxAttempts_ = 3;
         return queue;
     }
@@ -183,19 +263,56 @@
     std::unordered_set<std::string> evacuatedZones_;
     FleetScheduler scheduler_;
 };
+
+/// Measures fleets full of urgent runs, of which team "a" uses `borrowed` accelerators beyond its guarantee.
+auto measureUrgent(int workers, std::int64_t borrowed) -> std::pair<std::chrono::microseconds, std::uint64_t>
+{
+    std::chrono::microseconds sum{0};
+    std::uint64_t stopped = 0;
+    for (int i = 0; i < UrgentFleets; ++i) {
+        Fleet fleet(workers, borrowed);
+        // Gangs wait for one rack by this clock.
+        BootClock::useSource([&fleet] {
+            return BootTime(std::chrono::hours(1) + fleet.now());
+        });
+        fleet.fillWithUrgentRuns();
+        sum += fleet.measureMost();
+        stopped += fleet.reclaims();
+        BootClock::useSource({});
+    }
+    return {sum / UrgentFleets, stopped / UrgentFleets};
+}
+
+auto printUrgent(int workers) -> void
+{
+    const auto [found, stopped] = measureUrgent(workers, workers * std::int64_t{4});
+    const auto [failed, none] = measureUrgent(workers, OwedTasks);
+    std::printf("workers=%d owed_gangs=%d found_pass_us=%lld stopped=%llu failed_pass_us=%lld stopped=%llu\n",
+                workers,
+                OwedGangs,
+                static_cast<long long>(found.count()),
+                static_cast<unsigned long long>(stopped),
+                static_cast<long long>(failed.count()),
+                static_cast<unsigned long long>(none));
+}
 } // namespace
 
 auto main(int argc, char **argv) -> int
 {
     setLogOutput([](LogSeverity /*severity*/, const std::string & /*event*/, const std::string & /*line*/) {});
     std::vector<int> sizes;
-    for (int i = 1; i < argc; ++i) {
+    const auto urgent = argc > 1 && std::string(argv[1]) == "--urgent";
+    for (int i = urgent ? 2 : 1; i < argc; ++i) {
         sizes.push_back(std::atoi(argv[i]));
     }
     if (sizes.empty()) {
         sizes = {350, 1100, 2900};
     }
     for (const auto workers : sizes) {
+        if (urgent) {
+            printUrgent(workers);
+            continue;
+        }
         Fleet fleet(workers);
         fleet.fill();
         const auto pass = fleet.measure();
--- a/marjoramfold/dispatch/removalsearch.cpp
+++ b/marjoramfold/dispatch/removalsearch.cpp
@@ -41,7 +41,11 @@
         }
         unitOf_.clear();
         accountOf_.clear();
-        workerIndexOf_.assign(usableWorkers, NoIndex);
+        workerIndexOf_.resize(usableWorkers, NoIndex);
+        for (const auto worker : workers_) {
+            workerIndexOf_[worker] = NoIndex;
+        }
+        workers_ = workers;
         for (std::size_t i = 0; i < workers.size(); ++i) {
             workerIndexOf_[workers[i]] = i;
         }
@@ -67,10 +71,10 @@
         return problem_;
     }
 
-    /// The unit of the sessions for a unit of the problem.
-    [[nodiscard]] auto unitOf(std::size_t index) const -> const VictimUnit &
+    /// The number among all units of a unit of the problem.
+    [[nodiscard]] auto unitOf(std::size_t index) const -> std::size_t
     {
-        return victims_.units()[unitOf_[index]];
+        return unitOf_[index];
     }
 
 private:
@@ -96,7 +100,7 @@
         }
         entry.endFreed_ = problem_.freed_.size();
         const auto &run = *victims_.anyMember(unit).run_;
-        if (budget_ != nullptr && run.priority_ == 0 && !unit.endsSoon_ && !victims_.isStopping(unit)) {
+        if (budget_ != nullptr && run.priority_ == 0 && !unit.endsSoon_ && !unit.isStopping_) {
             entry.account_ = accountOf(run.team_);
             entry.charge_ = run.demand_.accelerators_ * run.gangSize_;
         }
@@ -122,7 +126,9 @@
     /// Index in the problem by unit, and the reverse.
     std::vector<std::size_t> indexOf_;
     std::vector<std::size_t> unitOf_;
+    /// Index in the problem by usable worker, and the reverse.
     std::vector<std::size_t> workerIndexOf_;
+    std::vector<std::size_t> workers_;
     std::map<TeamId, std::size_t> accountOf_;
 };
 } // namespace
@@ -142,9 +148,9 @@
     return {sessions_, usable, victimHooks_, now_};
 }
 
-auto WorkerSelector::victimUnits() -> const VictimUnits &
+auto WorkerSelector::victimUnits() -> VictimUnits &
 {
-    // Runs that are placed later in the pass cannot be stopped, and stops show in the stages, so that one collection serves all searches.
+    // Runs that are placed later in the pass cannot be stopped, and each decision is carried out, so that one collection serves all searches.
     if (!victimUnits_) {
         victimUnits_ = std::make_unique<VictimUnits>(makeVictimUnits());
     }
@@ -155,9 +161,9 @@
                                           bool local,
                                           const VictimUnits &victims,
                                           const VictimTerms &termsOf,
-                                          const ReclaimBudget *budget) -> std::optional<PlacementDecision>
+                                          const ReclaimBudget *budget) -> std::optional<RemovalChoice>
 {
-    std::optional<PlacementDecision> best;
+    std::optional<RemovalChoice> best;
     auto bestCost = 0.0;
     const auto couldHold = [&request](const Candidate &candidate) {
         return candidate.session_->entry_.capacity_.covers(request.step_->task_);
@@ -177,47 +183,57 @@
             continue;
         }
         bestCost = plan->cost_;
-        best = PlacementDecision{};
-        best->remote_ = !local;
+        best = RemovalChoice{};
         for (const auto worker : plan->taskWorkers_) {
             best->workers_.push_back(group[worker]->session_);
         }
-        best->awaitsEnds_ = !plan->units_.empty();
         for (const auto index : plan->units_) {
-            const auto &unit = builder.unitOf(index);
-            // The other members of a gang that ends already follow the one that was stopped.
-            if (unit.endsSoon_ || victims.isEnding(unit)) {
-                continue;
-            }
-            best->lostWork_ += unit.lostWork_;
-            for (auto i = unit.firstMember_; i < unit.endMember_; ++i) {
-                best->victims_.emplace_back(victims.members()[i].session_, *victims.members()[i].key_);
-            }
+            best->units_.push_back(builder.unitOf(index));
         }
     }
     return best;
 }
 
+auto WorkerSelector::decide(const RemovalChoice &choice, VictimUnits &victims, bool local) -> PlacementDecision
+{
+    PlacementDecision decision{choice.workers_, !local, {}};
+    decision.awaitsEnds_ = !choice.units_.empty();
+    for (const auto number : choice.units_) {
+        const auto &unit = victims.units()[number];
+        // The other members of a gang that ends already follow the one that was stopped.
+        if (unit.endsSoon_ || unit.isEnding_) {
+            continue;
+        }
+        decision.lostWork_ += unit.lostWork_;
+        for (auto i = unit.firstMember_; i < unit.endMember_; ++i) {
+            decision.victims_.emplace_back(victims.members()[i].session_, *victims.members()[i].key_);
+        }
+        victims.markStopped(number);
+    }
+    return decision;
+}
+
 auto WorkerSelector::findPlacementByPreemption(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
 {
     if (failed_.contains(request, local, FailedRequests::Search::Preemption)) {
         return std::nullopt;
     }
-    const auto &victims = victimUnits();
+    auto &victims = victimUnits();
     const VictimTerms termsOf = [&victims, &request](const VictimUnit &unit) -> std::optional<double> {
-        if (victims.isEnding(unit)) {
+        if (unit.isEnding_) {
             return 0.0;
         }
-        if (victims.anyMember(unit).run_->priority_ <= request.priority_ || victims.isUnsent(unit)) {
+        if (victims.anyMember(unit).run_->priority_ <= request.priority_ || unit.isUnsent_) {
             return std::nullopt;
         }
         return unit.endsSoon_ ? 0.0 : unit.loss_;
     };
-    auto choice = cheapestAfterRemoval(request, local, victims, termsOf, nullptr);
+    const auto choice = cheapestAfterRemoval(request, local, victims, termsOf, nullptr);
     if (!choice) {
         failed_.add(request, local, FailedRequests::Search::Preemption);
+        return std::nullopt;
     }
-    return choice;
+    return decide(*choice, victims, local);
 }
 
 auto WorkerSelector::findPlacementByReclaim(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
@@ -225,28 +241,32 @@
     if (failed_.contains(request, local, FailedRequests::Search::Reclaim)) {
         return std::nullopt;
     }
-    const auto &victims = victimUnits();
-    // Stops that were decided earlier in this pass show in the stages of the runs.
-    ReclaimBudget budget(sessions_, guaranteeOf_);
+    auto &victims = victimUnits();
+    if (!reclaimBudget_) {
+        reclaimBudget_ = std::make_unique<ReclaimBudget>(sessions_, guaranteeOf_);
+    }
+    auto &budget = *reclaimBudget_;
     const VictimTerms termsOf = [&victims, &budget](const VictimUnit &unit) -> std::optional<double> {
-        if (victims.isEnding(unit)) {
+        if (unit.isEnding_) {
             return 0.0;
         }
         const auto &[session, key, run, worker] = victims.anyMember(unit);
-        if (victims.isUnsent(unit) || !budget.canTake(*key, *run)) {
+        if (unit.isUnsent_ || !budget.canTake(*key, *run)) {
             return std::nullopt;
         }
         return unit.endsSoon_ ? 0.0 : unit.loss_ * (run->priority_ == 0 ? UrgentVictimWeight : 1.0);
     };
-    auto choice = cheapestAfterRemoval(request, local, victims, termsOf, &budget);
-    const auto isAllowed = choice && std::all_of(choice->victims_.begin(), choice->victims_.end(), [&budget](const auto &victim) {
-                               return budget.take(victim.second, victim.first->runs_.at(victim.second));
-                           });
-    if (!isAllowed) {
+    const auto choice = cheapestAfterRemoval(request, local, victims, termsOf, &budget);
+    if (!choice) {
         failed_.add(request, local, FailedRequests::Search::Reclaim);
         return std::nullopt;
     }
-    return choice;
+    auto decision = decide(*choice, victims, local);
+    // Later requests of the pass get what is left.
+    for (const auto &[session, key] : decision.victims_) {
+        budget.take(key, session->runs_.at(key));
+    }
+    return decision;
 }
 
 auto WorkerSelector::findReservation(const PlacementRequest &request, bool local) -> std::vector<WorkerSession *>
--- a/marjoramfold/dispatch/victimunits.cpp
+++ b/marjoramfold/dispatch/victimunits.cpp
@@ -130,6 +130,9 @@
         const auto startedAt = run->acceptedAt_ == BootTime{} ? run->placedAt_ : run->acceptedAt_;
         unit.lostWork_ += (run->checkpointsOnStop_ ? 0.0 : inSeconds(now - startedAt)) * coresOf(run->demand_);
         unit.loss_ += overhead * coresOf(run->demand_);
+        unit.isStopping_ = unit.isStopping_ || run->stage_ == RunStage::Stopping;
+        unit.isEnding_ = unit.isEnding_ || (run->stage_ == RunStage::Stopping && session->unreachableSince_ == BootTime{});
+        unit.isUnsent_ = unit.isUnsent_ || run->stage_ == RunStage::Recorded;
         unit.remainingSeconds_ = std::max(unit.remainingSeconds_, std::chrono::duration<double>(run->expected_).count() - inSeconds(now - run->placedAt_));
         if (unit.endsSoon_) {
             const auto remaining = hooks.remainingTime_ && run->stage_ == RunStage::Running ? hooks.remainingTime_(*session, *run) : std::nullopt;
@@ -159,30 +162,9 @@
     return members_[unit.firstMember_];
 }
 
-auto VictimUnits::isStopping(const VictimUnit &unit) const -> bool
+auto VictimUnits::markStopped(std::size_t unit) -> void
 {
-    return hasMember(unit, [](const VictimMember &member) {
-        return member.run_->stage_ == RunStage::Stopping;
-    });
-}
-
-auto VictimUnits::isEnding(const VictimUnit &unit) const -> bool
-{
-    return hasMember(unit, [](const VictimMember &member) {
-        return member.run_->stage_ == RunStage::Stopping && member.session_->unreachableSince_ == BootTime{};
-    });
-}
-
-auto VictimUnits::isUnsent(const VictimUnit &unit) const -> bool
-{
-    return hasMember(unit, [](const VictimMember &member) {
-        return member.run_->stage_ == RunStage::Recorded;
-    });
-}
-
-auto VictimUnits::hasMember(const VictimUnit &unit, const std::function<bool(const VictimMember &)> &accepts) const -> bool
-{
-    return std::any_of(
-        members_.begin() + static_cast<std::ptrdiff_t>(unit.firstMember_), members_.begin() + static_cast<std::ptrdiff_t>(unit.endMember_), accepts);
+    units_[unit].isStopping_ = true;
+    units_[unit].isEnding_ = true;
 }
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/victimunits.h
+++ b/marjoramfold/dispatch/victimunits.h
@@ -40,12 +40,18 @@
     double remainingSeconds_ = 0;
     /// The runs are about to end by themselves.
     bool endsSoon_ = false;
+    /// A member is being stopped, wherever it is.
+    bool isStopping_ = false;
+    /// A member on a worker that responds is being stopped, so that all members end. A stop may not reach any other worker.
+    bool isEnding_ = false;
+    /// A member's start command has not been sent, so that it cannot be stopped yet.
+    bool isUnsent_ = false;
     /// Range in the members of all units.
     std::size_t firstMember_ = 0;
     std::size_t endMember_ = 0;
 };
 
-/// All runs of the sessions, by the units in which they end. The runs must outlast it; it reads their stages anew with each question.
+/// All runs of the sessions, by the units in which they end. The runs must outlast it.
 class VictimUnits
 {
 public:
@@ -66,18 +72,11 @@
     /// Any member of the unit. The members have priority, team, demand and gang size in common.
     [[nodiscard]] auto anyMember(const VictimUnit &unit) const -> const VictimMember &;
 
-    /// True when a member is being stopped, wherever it is.
-    [[nodiscard]] auto isStopping(const VictimUnit &unit) const -> bool;
-
-    /// True when a member on a worker that responds is being stopped, so that all members end. A stop may not reach any other worker.
-    [[nodiscard]] auto isEnding(const VictimUnit &unit) const -> bool;
-
-    /// True when a member's start command has not been sent, so that it cannot be stopped yet.
-    [[nodiscard]] auto isUnsent(const VictimUnit &unit) const -> bool;
+    /// Counts a unit as being stopped, for the searches that follow in the pass.
+    auto markStopped(std::size_t unit) -> void;
 
 private:
-    [[nodiscard]] auto hasMember(const VictimUnit &unit, const std::function<bool(const VictimMember &)> &accepts) const -> bool;
-    /// Sets what the members tell: cost and remaining time.
+    /// Sets what the members tell: cost, remaining time and stages.
     auto assess(VictimUnit &unit, const VictimHooks &hooks, BootTime now) const -> void;
 
     std::vector<VictimUnit> units_;
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -137,12 +137,20 @@
     [[nodiscard]] auto fitsCapacity(const PlacementRequest &request) -> bool;
     [[nodiscard]] auto candidateOf(const WorkerSession &session) -> Candidate *;
     [[nodiscard]] auto selectWorkers(const Group &group, const PlacementRequest &request) const -> std::vector<WorkerSession *>;
-    /// Placement with the smallest cost of the runs that have to end first. A null `budget` sets no limit to urgent runs.
+    /// Workers of a placement, and the numbers of the units that have to end first.
+    struct RemovalChoice {
+        std::vector<WorkerSession *> workers_;
+        std::vector<std::size_t> units_;
+    };
+
+    /// Placement with the smallest cost of the units that have to end first. A null `budget` sets no limit to urgent runs.
     [[nodiscard]] auto
     cheapestAfterRemoval(const PlacementRequest &request, bool local, const VictimUnits &victims, const VictimTerms &termsOf, const ReclaimBudget *budget)
-        -> std::optional<PlacementDecision>;
+        -> std::optional<RemovalChoice>;
+    /// The decision to stop the chosen units, which then count as stopped.
+    [[nodiscard]] static auto decide(const RemovalChoice &choice, VictimUnits &victims, bool local) -> PlacementDecision;
     /// The runs of all workers by units; collected once a pass.
-    [[nodiscard]] auto victimUnits() -> const VictimUnits &;
+    [[nodiscard]] auto victimUnits() -> VictimUnits &;
     [[nodiscard]] auto makeVictimUnits() const -> VictimUnits;
 
     [[nodiscard]] static auto isIdle(const Candidate &candidate) -> bool;
@@ -160,6 +168,8 @@
     VictimHooks victimHooks_;
     /// Null until the first search that needs it.
     std::unique_ptr<VictimUnits> victimUnits_;
+    /// What is left to reclaim in the pass; null until the first search that needs it.
+    std::unique_ptr<ReclaimBudget> reclaimBudget_;
     /// Empty until the first request that asks for it.
     std::map<std::string, PoolUse> poolUse_;
     /// Free accelerators by rack; empty until the first request that needs one rack.
