Forecast the start of new jobs from the waiting work

Accepted work that cannot end in time takes capacity from work that can, and nothing told when a queue has reached that point.

Only with reject_hopeless is the work of ended tasks summed; nothing uses the forecast yet.

--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramfold/core/clock.h"
+#include "marjoramfold/dispatch/backlogforecast.h"
 #include "marjoramfold/dispatch/dispatchoptions.h"
 #include "marjoramfold/dispatch/joborder.h"
 #include "marjoramfold/dispatch/jobstate.h"
@@ -108,6 +109,9 @@
     [[nodiscard]] auto jobs() const -> const std::unordered_map<JobId, std::unique_ptr<TrackedJob>> &;
     [[nodiscard]] auto sessions() const -> const WorkerSessions &;
 
+    /// The waiting work and the capacity of all pools.
+    [[nodiscard]] auto backlogSample() const -> BacklogSample;
+
 private:
     /// A run whose start command is sent once its record is stored.
     struct PendingStart {
@@ -153,6 +157,7 @@
     [[nodiscard]] auto hasUnexpectedRun(const TaskRef &task) const -> bool;
     auto applyStaleEnd(TrackedJob &job, const RunEnded &end) -> void;
     auto applyDone(TrackedJob &job, const RunEnded &end) -> void;
+    auto addEndedWork(const TrackedJob &job, const StepPlan &plan, std::uint32_t tasks) -> void;
     auto applyFailure(TrackedJob &job, const RunEnded &end) -> void;
     auto stopGangMembers(TrackedJob &job, const RunEnded &end) -> void;
     auto updateWorkerHealth(const RunEnded &end) -> void;
@@ -240,6 +245,8 @@
     std::vector<std::pair<JobId, JobPhase>> pendingPhases_;
     /// Smoothed ratio of measured to estimated run time, by queue.
     std::unordered_map<std::string, double> runTimeRatios_;
+    /// Work of the tasks that ended successfully, by pool; only with DispatchOptions::rejectHopeless_.
+    std::map<std::string, ResourceSeconds> endedWork_;
     SchedulerCounts counts_;
     bool scheduling_ = false;
     BootTime schedulingSince_{};
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -1,3 +1,4 @@
+#include "marjoramfold/dispatch/backlogsampler.h"
 #include "marjoramfold/dispatch/fleetscheduler.h"
 #include "marjoramfold/observability/logline.h"
 
@@ -166,14 +167,32 @@
     // The successful end of one gang member completes all members.
     const auto first = plan.gang_ ? 0 : end.task_.index_;
     const auto last = plan.gang_ ? plan.count_ - 1 : end.task_.index_;
+    const auto doneBefore = step.done_;
     for (auto index = first; index <= last; ++index) {
         auto &task = step.tasks_[index];
         step.done_ += task.done_ ? 0 : 1;
         task.done_ = true;
     }
+    addEndedWork(job, plan, step.done_ - doneBefore);
     completeIfDone(job);
 }
 
+auto FleetScheduler::addEndedWork(const TrackedJob &job, const StepPlan &plan, std::uint32_t tasks) -> void
+{
+    const auto *queue = options_.rejectHopeless_ ? hooks_.config_().queueNamed(job.submission_.queue_) : nullptr;
+    if (queue != nullptr) {
+        endedWork_[queue->pool_] += workOf(plan.task_, expectedTime(plan, runTimeRatioOf(queue->name_)), tasks);
+    }
+}
+
+auto FleetScheduler::backlogSample() const -> BacklogSample
+{
+    const auto ratioOf = [this](const std::string &queue) {
+        return runTimeRatioOf(queue);
+    };
+    return BacklogSampler({open_, sessions_.all(), hooks_.config_(), hooks_.evacuatedZones_(), endedWork_, ratioOf, hooks_.wallNow_()}).take();
+}
+
 auto FleetScheduler::applyFailure(TrackedJob &job, const RunEnded &end) -> void
 {
     ++counts_.failedRuns_;
