Publish the queues that must reject

Only the leader knows the waiting work and the capacity, while submissions arrive at every instance.

With reject_hopeless the leader writes the forecast to the feed under b/queues, at most once per second while a queue is hopeless and once when this ends. Records found in a load are not used, since their age is unknown. Versions that do not know the key ignore it.

--- a/marjoramfold/node/jobfeed.cpp
+++ b/marjoramfold/node/jobfeed.cpp
@@ -1,6 +1,7 @@
 #include "marjoramfold/node/jobfeed.h"
 
 #include "marjoramfold/dispatch/jobstate.h"
+#include "marjoramfold/node/admission.h"
 #include "marjoramfold/observability/logline.h"
 #include "marjoramfold/store/recordcodec.h"
 
@@ -20,6 +21,8 @@
 constexpr std::string_view LeaderPrefix = "l/";
 /// Prefix of claims. The keys of renewals and resignations have only LeaderPrefix and the instance's name.
 constexpr std::string_view ClaimPrefix = "l/claim/";
+/// Key of the leader's backlog records. Versions that do not know it ignore the prefix.
+constexpr std::string_view BacklogKey = "b/queues";
 
 auto decodeLeadership(const std::string &value) -> std::optional<LeadershipRecord>
 {
@@ -149,6 +152,8 @@
         loadedLeadership_.push_back(stored);
     } else if (prefix == LeaderPrefix && record.value_) {
         applyLeadership(stored.offset_, *record.value_);
+    } else if (record.key_ == BacklogKey && record.value_ && !reloading_ && listeners_.backlogPublished_) {
+        listeners_.backlogPublished_(*record.value_);
     }
 }
 
@@ -380,6 +385,11 @@
     return {key, encodeRecordValue(record)};
 }
 
+auto JobFeed::backlogRecord(const BacklogRecord &record) -> KeyedRecord
+{
+    return {std::string(BacklogKey), encodeBacklog(record)};
+}
+
 auto JobFeed::jobTombstones(const JobId &id) -> std::vector<KeyedRecord>
 {
     return {{prefixedKey(JobPrefix, id.value()), std::nullopt}, cancelTombstone(id), {prefixedKey(PhasePrefix, id.value()), std::nullopt}};
--- a/marjoramfold/node/jobfeed.h
+++ b/marjoramfold/node/jobfeed.h
@@ -14,6 +14,8 @@
 
 namespace Marjoramfold
 {
+struct BacklogRecord;
+
 /// Stream of submissions, cancellations, job phases and leadership records, which every instance follows.
 [[nodiscard]] auto feedStream() -> StreamId;
 
@@ -84,6 +86,8 @@
     std::function<void()> leaderChanged_;
     /// The phase reported to callers has become final.
     std::function<void(const JobId &)> ended_;
+    /// The leader has published a record of its backlog, which is passed encoded. Not called for records of a load, whose age is unknown.
+    std::function<void(const std::string &)> backlogPublished_;
 };
 
 /// Applies the records of the feed in order. Every instance derives the same state, since the store orders the records.
@@ -122,6 +126,7 @@
     [[nodiscard]] static auto cancelTombstone(const JobId &id) -> KeyedRecord;
     [[nodiscard]] static auto phaseRecord(const JobId &id, JobPhase phase) -> KeyedRecord;
     [[nodiscard]] static auto leadershipRecord(const LeadershipRecord &record) -> KeyedRecord;
+    [[nodiscard]] static auto backlogRecord(const BacklogRecord &record) -> KeyedRecord;
 
     /// Tombstones for the claims before an epoch; renewals of that epoch make these claims obsolete.
     [[nodiscard]] auto claimTombstones(std::uint64_t epoch) const -> std::vector<KeyedRecord>;
--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -123,6 +123,7 @@
 auto LeaderRuntime::resign(std::function<void()> callback) -> void
 {
     scheduler_->shutDown();
+    backlog_.reset();
     feedAppender_->write({JobFeed::leadershipRecord({LeadershipAction::Resign, epoch_, context_.instance_, context_.process_, 0})},
                          [callback = std::move(callback)](const WriteResult & /*result*/) {
                              callback();
@@ -229,6 +230,9 @@
         feedAppender_->writeInOrder(std::move(claims), {});
     }
     scheduler_->startScheduling(othersRenewUntil());
+    if (context_.dispatch_.rejectHopeless_) {
+        backlog_ = makeBacklogPublisher();
+    }
 }
 
 auto LeaderRuntime::othersRenewUntil() const -> BootTime
@@ -316,6 +320,10 @@
     }
     scheduler_->tick();
     dropExpiredJobs();
+    if (backlog_) {
+        const WorkMeter::Scope scope(context_.workMeter_, WorkKind::Ticks);
+        backlog_->check(BootClock::now());
+    }
     context_.schedule_(TickInterval, [weak = weak_from_this()] {
         if (const auto self = weak.lock(); self && !self->stopped_) {
             self->tick();
@@ -323,6 +331,22 @@
     });
 }
 
+auto LeaderRuntime::makeBacklogPublisher() -> std::unique_ptr<BacklogPublisher>
+{
+    const auto weak = weak_from_this();
+    const auto takeSample = [this] {
+        return scheduler_->backlogSample();
+    };
+    const auto publish = [weak](KeyedRecord record, std::function<void()> callback) {
+        if (const auto self = weak.lock(); self) {
+            self->feedAppender_->write({std::move(record)}, [callback = std::move(callback)](const WriteResult & /*result*/) {
+                callback();
+            });
+        }
+    };
+    return std::make_unique<BacklogPublisher>(epoch_, takeSample, publish);
+}
+
 auto LeaderRuntime::dropExpiredJobs() -> void
 {
     const auto now = BootClock::now();
--- a/marjoramfold/node/leaderruntime.h
+++ b/marjoramfold/node/leaderruntime.h
@@ -2,6 +2,7 @@
 
 #include "marjoramfold/core/clock.h"
 #include "marjoramfold/dispatch/fleetscheduler.h"
+#include "marjoramfold/node/backlogpublisher.h"
 #include "marjoramfold/node/jobfeed.h"
 #include "marjoramfold/node/platformbinding.h"
 #include "marjoramfold/store/orderedappender.h"
@@ -69,6 +70,7 @@
     auto renew() -> void;
     auto tick() -> void;
     auto dropExpiredJobs() -> void;
+    [[nodiscard]] auto makeBacklogPublisher() -> std::unique_ptr<BacklogPublisher>;
     auto confirmedRecently() const -> bool;
     [[nodiscard]] auto guardedCalls() -> WorkerCalls;
     [[nodiscard]] auto appenderFor(const StreamId &stream) -> std::shared_ptr<OrderedAppender>;
@@ -81,6 +83,8 @@
     std::shared_ptr<OrderedAppender> progressAppender_;
     std::shared_ptr<StreamFollower> workers_;
     std::unique_ptr<FleetScheduler> scheduler_;
+    /// Null without DispatchOptions::rejectHopeless_.
+    std::unique_ptr<BacklogPublisher> backlog_;
     std::vector<StoredRecord> progress_;
     /// End of the progress stream when its load began; all earlier records are known.
     std::uint64_t progressEnd_ = 0;
--- a/tests/support/leadersite.h
+++ b/tests/support/leadersite.h
@@ -129,6 +129,7 @@
                             },
                             {},
                             {},
+                            {},
                             {}});
     }
 
@@ -183,6 +184,7 @@
             entry.clock_ = std::chrono::milliseconds(std::stoll(value.substr(0, space)));
             return entry;
         };
+        context.dispatch_ = dispatch_;
         context.instance_ = name_;
         context.process_ = process_;
         context.config_ = [this]() -> const OperatorConfig & {
@@ -235,6 +237,7 @@
         }
     }
 
+    DispatchOptions dispatch_;
     /// The store delays all appends of this instance.
     bool appendsHeld_ = false;
     /// The store refuses all appends of this instance.
--- a/tests/unit/test_jobfeed.cpp
+++ b/tests/unit/test_jobfeed.cpp
@@ -1,3 +1,4 @@
+#include "marjoramfold/node/admission.h"
 #include "marjoramfold/node/jobfeed.h"
 
 #include <catch2/catch.hpp>
@@ -258,3 +259,42 @@
         CHECK(feed.waitingJobs("proofs") == 0);
     }
 }
+
+TEST_CASE("a record of the leader's backlog is passed on and changes nothing else in the feed", "[feed]")
+{
+    // Guards against a record that an older version does not know, or cannot read, spoiling its load of the feed.
+    FeedLog log;
+    log.append(leadership(LeadershipAction::Claim, 0, "one"));
+    log.append(JobFeed::submissionRecord(submission("a1")));
+    log.append(JobFeed::backlogRecord({1, 1, {}}));
+    log.append({JobFeed::backlogRecord({}).key_, "\xff not a record"});
+    log.append({"b/", "another key of the prefix"});
+    log.append({JobFeed::backlogRecord({}).key_, std::nullopt});
+    log.append(JobFeed::submissionRecord(submission("a2")));
+    for (const auto &feed : {followed(log), loaded(log)}) {
+        CHECK(feed.jobs().size() == 2);
+        CHECK(feed.waitingJobs("proofs") == 2);
+        CHECK(feed.leader().epoch_ == 1);
+    }
+    JobFeed feed;
+    std::vector<std::string> published;
+    FeedListeners listeners;
+    listeners.backlogPublished_ = [&published](const std::string &value) {
+        published.push_back(value);
+    };
+    feed.setListeners(listeners);
+
+    SECTION("followed: each value, readable or not")
+    {
+        feed.apply(log.all());
+        CHECK(published == std::vector<std::string>{encodeBacklog({1, 1, {}}), "\xff not a record"});
+    }
+
+    SECTION("loaded: none, since a record that was found in a load may be of any age")
+    {
+        feed.beginReload();
+        feed.apply(log.all());
+        feed.endReload();
+        CHECK(published.empty());
+    }
+}
--- a/tests/unit/test_leaderruntime.cpp
+++ b/tests/unit/test_leaderruntime.cpp
@@ -1,3 +1,4 @@
+#include "marjoramfold/node/admission.h"
 #include "tests/support/leadersite.h"
 #include "tests/support/simulatedfleet.h"
 
@@ -6,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 using namespace Marjoramfold;
 using namespace Marjoramfold::Test;
@@ -265,3 +267,52 @@
         CHECK_FALSE(newestOf(key).has_value());
     }
 }
+
+TEST_CASE("a leader publishes its backlog only with the switch, while a queue must reject, and then once that it ends", "[leader]")
+{
+    // Guards against records that cost calls to the store, or that outlast the overload.
+    Site site;
+    QueueConfig batch;
+    batch.name_ = "batch";
+    batch.pool_ = "pool";
+    batch.priority_ = 2;
+    batch.maxAttempts_ = 100;
+    batch.stretch_ = 3;
+    site.config_ = OperatorConfig(1, {batch}, {{"pool", false, false}}, {});
+    Leader leader(site, "leader", 1);
+    leader.dispatch_.rejectHopeless_ = GENERATE(true, false);
+    leader.follow();
+    site.list("one");
+    site.list("two");
+    leader.lead();
+    site.advance(500ms);
+    const auto published = [&site] {
+        std::vector<std::string> values;
+        for (const auto &record : site.store_.log(feedStream().topic_)) {
+            if (record.record_.key_ == JobFeed::backlogRecord({}).key_) {
+                values.push_back(*record.record_.value_);
+            }
+        }
+        return values;
+    };
+    // A start is of use for 80 s, in which twice the 16 accelerators do 2,560 of the 3,840 accelerator-seconds that wait.
+    auto job = makeSubmission(FirstJob.value(), "batch", 400, SmallTask);
+    job.plan_.steps_[0].estimate_ = 10s;
+    job.acceptedAt_ = site.now_;
+    site.store_.put(feedStream().topic_, JobFeed::submissionRecord(job));
+    site.advance(5s);
+    if (!leader.dispatch_.rejectHopeless_) {
+        CHECK(published().empty());
+        return;
+    }
+    const auto records = published();
+    CHECK(records.size() >= 2);
+    CHECK(records.size() <= 5);
+    CHECK(valueOf(decodeBacklog(records.at(0))).queues_.size() == 1);
+    site.store_.put(feedStream().topic_, JobFeed::cancelRecord(FirstJob));
+    site.advance(1500ms);
+    const auto ended = published();
+    CHECK(valueOf(decodeBacklog(ended.back())).queues_.empty());
+    site.advance(5s);
+    CHECK(published() == ended);
+}
