Reject submissions that could not end in time

A submission to a hopeless queue was accepted, waited past its last useful time, and its caller learned of it only then.

Such a submission is answered 429 with a Retry-After of 1 to 10 s before anything is stored. The instance reads the feed up to the present first, so that a job that another instance has accepted is answered 200. Without the switch, a leader, a readable store or a record of the last 3 s nothing is rejected. The counter marjoramfold_rejected_submissions_total tells rejections by queue.

--- a/marjoramfold/node/callerapi.cpp
+++ b/marjoramfold/node/callerapi.cpp
@@ -37,10 +37,23 @@
 
 auto nameOfAnswer(const CallerAnswer &answer) -> std::string
 {
+    if (std::holds_alternative<SubmissionRejected>(answer)) {
+        return "overloaded";
+    }
     const auto *error = std::get_if<Error>(&answer);
     return error == nullptr ? "ok" : std::string(errorAnswer(error->kind_).name_);
 }
 
+/// Reason of an error or rejection; empty for other answers.
+auto reasonOf(const CallerAnswer &answer) -> std::string
+{
+    if (const auto *rejection = std::get_if<SubmissionRejected>(&answer); rejection != nullptr) {
+        return rejection->reason_;
+    }
+    const auto *error = std::get_if<Error>(&answer);
+    return error == nullptr ? "" : error->message_;
+}
+
 auto ageInMilliseconds(BootTime since) -> std::int64_t
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - since).count();
@@ -63,6 +76,7 @@
     , appender_(std::move(appender))
     , schedule_(std::move(schedule))
     , answers_(metrics.counter({"marjoramfold_caller_answers_total", "Answers to callers by call and outcome", {"call", "outcome"}}))
+    , rejected_(metrics.counter({"marjoramfold_rejected_submissions_total", "Submissions rejected because they could not end in time, by queue", {"queue"}}))
     , latency_(metrics.histogram({"marjoramfold_caller_answer_seconds", "Time to the answer by call", {"call"}}, latencyBuckets()))
 {
 }
@@ -130,7 +144,7 @@
                 .with("call", callName)
                 .with("path", path)
                 .with("outcome", nameOfAnswer(result))
-                .with("why", error == nullptr ? "" : error->message_)
+                .with("why", reasonOf(result))
                 .with("took_ms", ageInMilliseconds(startedAt))
                 .with("config", view_.config().version())
                 .with("config_age_ms", ageInMilliseconds(view_.currentAsOf()))
@@ -171,7 +185,7 @@
         return;
     }
     const auto acceptedAt = toUnixMilliseconds(std::chrono::system_clock::now());
-    const Submission submission{validated.job_, validated.queue_, validated.team_, acceptedAt, valueOf(std::move(plan))};
+    Submission submission{validated.job_, validated.queue_, validated.team_, acceptedAt, valueOf(std::move(plan))};
     auto record = JobFeed::submissionRecord(submission);
     if (storedBytes(record) > MaxRecordBytes) {
         // The store would reject the record each time, together with all others in the same append.
@@ -180,8 +194,67 @@
                       std::nullopt});
         return;
     }
-    pendingSubmissions_[validated.job_].push_back(std::move(respond));
-    store({std::move(record)}, call.timeout_, JobAccepted{}, [this, id = validated.job_](const CallerAnswer &answer) {
+    if (rejectionOf(submission)) {
+        // The payload is not needed for the decision.
+        submission.plan_.payload_.clear();
+        rejectOrStore(submission, std::move(record), call.timeout_, std::move(respond));
+        return;
+    }
+    storeSubmission(validated.job_, std::move(record), call.timeout_, std::move(respond));
+}
+
+auto CallerApi::onBacklogPublished(const std::string &value) -> void
+{
+    auto record = decodeBacklog(value);
+    if (!isOk(record)) {
+        LogLine(LogSeverity::Error, "backlog_record_unreadable").with("bytes", value.size()).with("reason", errorOf(record).message_);
+        return;
+    }
+    admission_.onRecord(valueOf(std::move(record)), feed_.leader().epoch_, BootClock::now());
+}
+
+auto CallerApi::rejectionOf(const Submission &submission) const -> std::optional<AdmissionRejection>
+{
+    const auto *queue = options_.rejectHopeless_ ? view_.config().queueNamed(submission.queue_) : nullptr;
+    if (queue == nullptr || feed_.leader().resigned_) {
+        return std::nullopt;
+    }
+    return admission_.decide(submission.id_, submission.plan_, *queue, feed_.leader().epoch_, BootClock::now());
+}
+
+auto CallerApi::rejectOrStore(const Submission &submission, KeyedRecord record, std::chrono::milliseconds timeout, Respond respond) -> void
+{
+    // Another instance may have accepted the job since the last read, and an accepted job must not be answered as rejected.
+    follower_->whenCurrent(
+        std::min(options_.appendProbeTimeout_, timeout / 2),
+        [this, submission, startedAt = BootClock::now(), record = std::move(record), timeout, respond = std::move(respond)](bool current) mutable {
+            if (feed_.find(submission.id_) != nullptr) {
+                respond(JobAccepted{});
+                return;
+            }
+            const auto rejection = current ? rejectionOf(submission) : std::nullopt;
+            if (!rejection || pendingSubmissions_.contains(submission.id_)) {
+                const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - startedAt);
+                storeSubmission(submission.id_, std::move(record), timeout - elapsed, std::move(respond));
+                return;
+            }
+            rejected_.at({submission.queue_}).Increment();
+            const auto &forecast = rejection->forecast_;
+            respond(SubmissionRejected{"the job would start in " + std::to_string(forecast.startsIn_.count())
+                                           + " ms at the earliest, and is of use only if it starts within " + std::to_string(forecast.lastUsefulStart_.count())
+                                           + " ms",
+                                       rejection->retryAfter_});
+        });
+}
+
+auto CallerApi::storeSubmission(const JobId &id, KeyedRecord record, std::chrono::milliseconds timeout, Respond respond) -> void
+{
+    auto &pending = pendingSubmissions_[id];
+    pending.push_back(std::move(respond));
+    if (pending.size() > 1) {
+        return;
+    }
+    store({std::move(record)}, timeout, JobAccepted{}, [this, id](const CallerAnswer &answer) {
         const auto node = pendingSubmissions_.extract(id);
         for (const auto &pendingRespond : node.mapped()) {
             pendingRespond(answer);
--- a/marjoramfold/node/callerapi.h
+++ b/marjoramfold/node/callerapi.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramfold/core/clock.h"
+#include "marjoramfold/node/admission.h"
 #include "marjoramfold/node/jobfeed.h"
 #include "marjoramfold/node/operatorview.h"
 #include "marjoramfold/node/platformbinding.h"
@@ -11,6 +12,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -38,6 +40,8 @@
     /// A query for a running job waits this long for its end: callers query when they expect it, and the end takes about
     /// 40 ms from the worker through two appends to the queried instance.
     std::chrono::milliseconds endWait_{120};
+    /// Submissions that could not end in time are rejected by the leader's newest forecast.
+    bool rejectHopeless_ = false;
 };
 
 /// Handles callers' requests: checks queue and key, stores submissions and cancellations, and answers queries from the feed.
@@ -62,6 +66,9 @@
     /// Answers the queries that wait for the end of a job.
     auto onJobEnded(const JobId &id) -> void;
 
+    /// Applies a backlog record of the leader.
+    auto onBacklogPublished(const std::string &value) -> void;
+
     /// True while the configuration and the feed are current and the store answers appends.
     [[nodiscard]] auto isReady() const -> bool;
 
@@ -76,6 +83,11 @@
     [[nodiscard]] auto validate(const CallerRequest &call) const -> Result<ValidatedCall>;
     auto submit(const CallerRequest &call, const ValidatedCall &validated, Respond respond) -> void;
     auto query(const CallerRequest &call, const ValidatedCall &validated, Respond respond) -> void;
+    /// Stores a submission; a call for one that is being stored gets the same answer.
+    auto storeSubmission(const JobId &id, KeyedRecord record, std::chrono::milliseconds timeout, Respond respond) -> void;
+    /// Rejects a submission that could not end in time, unless the newest state of the feed has its job.
+    auto rejectOrStore(const Submission &submission, KeyedRecord record, std::chrono::milliseconds timeout, Respond respond) -> void;
+    [[nodiscard]] auto rejectionOf(const Submission &submission) const -> std::optional<AdmissionRejection>;
     auto answerState(const JobId &id, const Respond &respond) -> void;
     auto cancel(const CallerRequest &call, const ValidatedCall &validated, Respond respond) -> void;
     auto store(std::vector<KeyedRecord> records, std::chrono::milliseconds timeout, CallerAnswer success, Respond respond) -> void;
@@ -95,7 +107,9 @@
     std::unordered_map<JobId, std::vector<Respond>> pendingSubmissions_;
     /// Queries that wait for the end of a running job.
     std::unordered_multimap<JobId, std::shared_ptr<Respond>> awaitingEnd_;
+    AdmissionControl admission_;
     CounterFamily &answers_;
+    CounterFamily &rejected_;
     HistogramFamily &latency_;
 };
 } // namespace Marjoramfold
--- a/marjoramfold/node/instance.cpp
+++ b/marjoramfold/node/instance.cpp
@@ -130,6 +130,7 @@
     // The rest of the bound is reserved for calls that passed the check and are still in progress.
     constexpr double MaxConfigurationAgeShare = 0.6;
     options.maxConfigurationAge_ = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.revokeBound_ * MaxConfigurationAgeShare);
+    options.rejectHopeless_ = settings_.dispatch_.rejectHopeless_;
     callerApi_ = std::make_unique<CallerApi>(options, binding_, *view_, feed_, feedFollower_, appender_, scheduleStep, metrics_);
     election_ = makeElection();
     feed_.setListeners({[this](const Submission &submission) {
@@ -154,6 +155,11 @@
                         },
                         [this](const JobId &id) {
                             callerApi_->onJobEnded(id);
+                        },
+                        [this](const std::string &value) {
+                            if (settings_.dispatch_.rejectHopeless_) {
+                                callerApi_->onBacklogPublished(value);
+                            }
                         }});
 }
 
--- a/marjoramfold/node/platformbinding.h
+++ b/marjoramfold/node/platformbinding.h
@@ -70,7 +70,14 @@
     std::size_t count_ = 0;
 };
 
-using CallerAnswer = std::variant<JobAccepted, JobStateAnswer, JobCancelled, QueueDepthAnswer, Error>;
+/// The submission was rejected because its job could not end in time; nothing was stored.
+struct SubmissionRejected {
+    std::string reason_;
+    /// Delay after which a repetition may be accepted.
+    std::chrono::seconds retryAfter_{1};
+};
+
+using CallerAnswer = std::variant<JobAccepted, JobStateAnswer, JobCancelled, QueueDepthAnswer, SubmissionRejected, Error>;
 
 /// Functions that translate between the platform's protocols and the types used here. They make no decisions and keep no state.
 struct PlatformBinding {
--- a/tests/unit/test_callerapi.cpp
+++ b/tests/unit/test_callerapi.cpp
@@ -1,11 +1,13 @@
 #include "marjoramfold/node/callerapi.h"
 #include "marjoramfold/node/meteredcalls.h"
+#include "platform/callerprotocol.h"
 #include "platform/jobdocument.h"
 #include "platform/operatorrecords.h"
 #include "tests/support/feedfollower.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <optional>
 
 using namespace Marjoramfold;
@@ -16,6 +18,8 @@
 {
 constexpr const char *Config = R"({"version":1,"routes":[{"name":"q","host":"h","path_prefix":"/q/","service":"s"}],
     "services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["key"]}]})";
+constexpr const char *BulkConfig = R"({"version":1,"routes":[{"name":"q","host":"h","path_prefix":"/q/","service":"s","priority":2,"stretch":3}],
+    "services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["key"]}]})";
 constexpr const char *Body = R"({"spec":"x","steps":[{"count":2,"cpu":1,"mem_mb":1}]})";
 constexpr const char *Id = "00112233445566aa";
 
@@ -23,7 +27,7 @@
 class CallerApiFixture
 {
 public:
-    CallerApiFixture()
+    explicit CallerApiFixture(CallerApiOptions options = {})
     {
         binding_.store_ = store_.store();
         binding_.operatorStream_ = Wire::operatorStream();
@@ -32,15 +36,22 @@
         view_ = std::make_unique<OperatorView>(binding_, schedule_.hook(), [] {});
         follower_ = makeFeedFollower(store_, schedule_, feed_);
         appender_ = makeFeedAppender(store_, schedule_, "instance");
-        feed_.setListeners({{}, {}, {}, {}, [this](const JobId &id) {
+        feed_.setListeners({{},
+                            {},
+                            {},
+                            {},
+                            [this](const JobId &id) {
                                 api_->onJobEnded(id);
+                            },
+                            [this](const std::string &value) {
+                                api_->onBacklogPublished(value);
                             }});
-        api_ = std::make_unique<CallerApi>(CallerApiOptions{}, binding_, *view_, feed_, follower_, appender_, schedule_.hook(), metrics_);
+        api_ = std::make_unique<CallerApi>(options, binding_, *view_, feed_, follower_, appender_, schedule_.hook(), metrics_);
     }
 
-    auto start() -> void
+    auto start(const char *config = Config) -> void
     {
-        store_.put("keyed.op", {"config", Config});
+        store_.put("keyed.op", {"config", config});
         view_->start();
         follower_->start();
     }
@@ -52,11 +63,18 @@
         api_->handle({kind, "h", path, key, 3000ms, body}, [this, status](const CallerAnswer &answer) {
             last_ = answer;
             const auto *error = std::get_if<Error>(&answer);
-            *status = error == nullptr ? 200 : errorAnswer(error->kind_).httpStatus_;
+            const auto success = std::holds_alternative<SubmissionRejected>(answer) ? 429 : 200;
+            *status = error == nullptr ? success : errorAnswer(error->kind_).httpStatus_;
         });
         return status;
     }
 
+    /// Metrics in the text format.
+    [[nodiscard]] auto metrics() const -> std::string
+    {
+        return metrics_.text();
+    }
+
     [[nodiscard]] auto isReady() const -> bool
     {
         return api_->isReady();
@@ -325,3 +343,155 @@
     BootClock::useSource({});
     CHECK(fixture.store_.log(feedStream().topic_).empty());
 }
+
+namespace
+{
+/// A CallerApi whose leader has published that jobs of the queue would start 80 s from now, where 64 s would be of use.
+class OverloadedFixture : public CallerApiFixture
+{
+public:
+    explicit OverloadedFixture(bool rejectHopeless = true)
+        : CallerApiFixture(optionsWith(rejectHopeless))
+    {
+        BootClock::useSource([this] {
+            return now_;
+        });
+        start(BulkConfig);
+        epoch_ = put(JobFeed::leadershipRecord({LeadershipAction::Claim, 0, "leader", 1, 1})) + 1;
+        publish({{"q", 1.0, {80s, 80s}, {80s, 80s}, 8s, {1, 1, 0}}});
+    }
+
+    ~OverloadedFixture()
+    {
+        BootClock::useSource({});
+    }
+
+    OverloadedFixture(const OverloadedFixture &) = delete;
+    auto operator=(const OverloadedFixture &) -> OverloadedFixture & = delete;
+
+    auto put(const KeyedRecord &record) -> std::uint64_t
+    {
+        const auto offset = store_.put(feedStream().topic_, record);
+        schedule_.advance(5ms);
+        return offset;
+    }
+
+    auto publish(std::vector<QueueForecast> queues) -> void
+    {
+        put(JobFeed::backlogRecord({epoch_, ++number_, std::move(queues)}));
+    }
+
+    /// Sends a submission; returns the status of its answer.
+    auto submit(const std::string &body = Body) -> int
+    {
+        const auto status = call(CallKind::Submit, JobPath, "key", body);
+        schedule_.advance(5ms);
+        return *status;
+    }
+
+    [[nodiscard]] auto isStored() const -> bool
+    {
+        const auto log = store_.log(feedStream().topic_);
+        return std::any_of(log.begin(), log.end(), [](const StoredRecord &record) {
+            return record.record_.key_.ends_with(Id);
+        });
+    }
+
+    BootTime now_ = BootClock::now();
+    std::uint64_t epoch_ = 0;
+
+private:
+    static auto optionsWith(bool rejectHopeless) -> CallerApiOptions
+    {
+        CallerApiOptions options;
+        options.rejectHopeless_ = rejectHopeless;
+        // The time of these tests passes without reads of the configuration.
+        options.maxConfigurationAge_ = 60s;
+        return options;
+    }
+
+    std::uint64_t number_ = 0;
+};
+} // namespace
+
+TEST_CASE("too much bulk work: a submission that could not end in time is rejected before anything is stored", "[frontdoor]")
+{
+    OverloadedFixture fixture;
+
+    SECTION("status 429 with a time to retry, counted by queue, until the leader ends it")
+    {
+        CHECK(fixture.submit() == 429);
+        CHECK_FALSE(fixture.isStored());
+        const auto response = Wire::encodeAnswer(*fixture.last_);
+        CHECK(response.status_ == 429);
+        const auto retryAfter = std::stoi(findHeader(response.headers_, "Retry-After").value_or("0"));
+        CHECK((retryAfter >= 1 && retryAfter <= 10));
+        CHECK(fixture.metrics().find("marjoramfold_rejected_submissions_total{queue=\"q\"} 1") != std::string::npos);
+        fixture.publish({});
+        CHECK(fixture.submit() == 200);
+        CHECK(fixture.isStored());
+    }
+
+    SECTION("a body that cannot be read stays an error, and a cancellation is stored as ever")
+    {
+        CHECK(fixture.submit("{") == 400);
+        CHECK(*fixture.call(CallKind::Query, JobPath) == 410);
+        CHECK(*fixture.call(CallKind::Cancel, JobPath) == 410);
+        CHECK(fixture.isStored());
+    }
+
+    SECTION("a job that was accepted before, here or by another instance, is answered as accepted")
+    {
+        // Guards against an accepted job that runs although its repeated submission was answered 429.
+        Submission accepted;
+        accepted.id_ = JobId(Id);
+        accepted.queue_ = "q";
+        accepted.plan_.steps_.resize(1);
+        fixture.store_.readsUnanswered_ = true;
+        fixture.store_.put(feedStream().topic_, JobFeed::submissionRecord(accepted));
+        const auto status = fixture.call(CallKind::Submit, JobPath);
+        CHECK(*status == 0);
+        fixture.store_.readsUnanswered_ = false;
+        fixture.store_.put(feedStream().topic_, JobFeed::backlogRecord({fixture.epoch_, 9, {}}));
+        fixture.schedule_.advance(50ms);
+        CHECK(*status == 200);
+        CHECK(fixture.submit() == 200);
+    }
+
+    SECTION("a submission is stored when the feed cannot be read")
+    {
+        fixture.store_.readsUnanswered_ = true;
+        const auto status = fixture.call(CallKind::Submit, JobPath);
+        fixture.schedule_.advance(601ms);
+        CHECK(*status == 200);
+        CHECK(fixture.isStored());
+    }
+
+    SECTION("a malformed record leaves the former one in force")
+    {
+        fixture.put({JobFeed::backlogRecord({}).key_, "{"});
+        CHECK(fixture.submit() == 429);
+    }
+
+    SECTION("a leader that disappears: nothing is rejected once its record is 3 s old")
+    {
+        fixture.now_ += 2999ms;
+        CHECK(fixture.submit() == 429);
+        fixture.now_ += 2ms;
+        CHECK(fixture.submit() == 200);
+    }
+
+    SECTION("a leader that resigns or is succeeded: nothing is rejected any more")
+    {
+        const auto resigns = GENERATE(true, false);
+        fixture.put(JobFeed::leadershipRecord({resigns ? LeadershipAction::Resign : LeadershipAction::Claim, fixture.epoch_, "leader", 1, 2}));
+        CHECK(fixture.submit() == 200);
+    }
+}
+
+TEST_CASE("without the switch a backlog record rejects nothing", "[frontdoor]")
+{
+    // Guards against an instance that rejects by the record of a leader whose settings differ.
+    OverloadedFixture fixture(false);
+    CHECK(fixture.submit() == 200);
+}
