Use the last settings of a queue that is missing from the configuration

One rule holds now: the settings in force, else the last ones that were. LastQueueSettings keeps them; they are stored in the feed in the append of the first submission to a queue, and by the leader after each change, so that they outlast all instances. Where none are known, running work has the lowest priority, and the next version that has the queue sets it and counts the attempts used meanwhile.

Two checks of test_callerapi counted all records of the feed after a first submission as 1. There are two now: they count submissions (1) and records (2).

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -142,34 +142,6 @@
     }
 }
 
-auto FleetScheduler::adoptRestoredRuns() -> void
-{
-    for (const auto &[id, occurrence] : std::exchange(restored_, {})) {
-        auto *job = findJob(id);
-        if (job == nullptr) {
-            continue;
-        }
-        const auto &plan = job->submission_.plan_;
-        const auto *queue = hooks_.config_().queueNamed(job->submission_.queue_);
-        auto &steps = job->occurrences_[occurrence].steps_;
-        for (std::uint32_t step = 0; step < steps.size(); ++step) {
-            if (plan.steps_[step].gang_) {
-                unifyGang(steps[step]);
-            }
-            for (std::uint32_t index = 0; index < steps[step].tasks_.size(); ++index) {
-                const auto &task = steps[step].tasks_[index];
-                if (!task.isActive()) {
-                    continue;
-                }
-                ++steps[step].active_;
-                ++job->active_;
-                const auto run = makeWorkerRun(*job, step, queue == nullptr ? 0 : queue->priority_, false);
-                sessions_.adoptRun(task.worker_, task.workerIncarnation_, {id, occurrence, step, index}, task.lastRun_, run);
-            }
-        }
-    }
-}
-
 auto FleetScheduler::startScheduling(BootTime previousRenewalsUntil) -> void
 {
     adoptRestoredRuns();
@@ -177,35 +149,13 @@
     scheduling_ = true;
     schedulingSince_ = BootClock::now();
     // A previous leader may have stored progress without completing or failing the job.
-    std::vector<TrackedJob *> jobs;
-    for (const auto &[id, job] : open_) {
-        jobs.push_back(job);
-    }
-    for (auto *job : jobs) {
-        closeIfEnded(*job);
-    }
+    closeEndedJobs();
+    appliedConfig_ = hooks_.config_().version();
     assumeFormerWaits();
     flush();
     requestPass();
 }
 
-auto FleetScheduler::closeIfEnded(TrackedJob &job) -> void
-{
-    const auto *queue = hooks_.config_().queueNamed(job.submission_.queue_);
-    for (const auto &occurrence : job.occurrences_) {
-        for (const auto &step : occurrence.steps_) {
-            job.failed_ = job.failed_ || std::any_of(step.tasks_.begin(), step.tasks_.end(), [queue](const TaskState &task) {
-                              return queue != nullptr && !task.done_ && task.failedRuns_.size() >= queue->maxAttempts_;
-                          });
-        }
-    }
-    if (job.failed_) {
-        failJob(job, "a task has reached its maximum number of attempts");
-    } else {
-        completeIfDone(job);
-    }
-}
-
 auto FleetScheduler::updateWorker(const WorkerEntry &entry) -> void
 {
     sessions_.updateEntry(entry);
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -33,6 +33,8 @@
     std::function<void(std::vector<std::pair<JobId, JobPhase>>)> publishPhases_;
     /// Returns the configuration in force.
     std::function<const OperatorConfig &()> config_;
+    /// Returns the last settings in force of a queue, for one that is missing from the configuration; null when none are known.
+    std::function<const QueueConfig *(const std::string &)> lastQueueSettings_;
     /// Returns the availability zones that get no new work.
     std::function<const std::unordered_set<std::string> &()> evacuatedZones_;
     std::function<std::chrono::milliseconds()> wallNow_;
@@ -92,6 +94,9 @@
     auto removeWorker(const WorkerId &id) -> void;
     auto removeWorkersExcept(const std::unordered_map<WorkerId, bool> &listed) -> void;
 
+    /// Applies a new version of the configuration to jobs whose queue was not known, and schedules a pass.
+    auto onConfigChanged() -> void;
+
     /// Schedules a pass that starts what can start.
     auto requestPass() -> void;
 
@@ -124,12 +129,18 @@
         std::vector<std::uint32_t> tasks_;
     };
 
-    // fleetscheduler.cpp: jobs, records, phases.
-    auto findJob(const JobId &id) -> TrackedJob *;
+    // inheritedjobs.cpp: restored jobs and runs, jobs of queues that are missing from the configuration.
+    /// Settings of a job's queue: those in force, else the last ones that were. Null when none are known; nothing of the job starts then.
+    [[nodiscard]] auto queueOf(const TrackedJob &job) const -> const QueueConfig *;
+    /// Fails or completes open jobs whose progress shows that they have ended.
+    auto closeEndedJobs() -> void;
     /// Sets the phase of a restored job whose progress shows that it is completed or has failed.
     auto closeIfEnded(TrackedJob &job) -> void;
     /// Adopts the active runs of the restored occurrences, once all their records are restored.
     auto adoptRestoredRuns() -> void;
+
+    // fleetscheduler.cpp: jobs, records, phases.
+    auto findJob(const JobId &id) -> TrackedJob *;
     /// Marks the progress of a task as changed; that of a gang is common to its members.
     auto markDirty(const TrackedJob &job, std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) -> void;
     /// The changed progress records. Fails a job whose record exceeds the store's limit, which would block the records of all others.
@@ -241,6 +252,8 @@
     /// Smoothed ratio of measured to estimated run time, by queue.
     std::unordered_map<std::string, double> runTimeRatios_;
     SchedulerCounts counts_;
+    /// Version of the configuration that was last applied to the open jobs.
+    std::uint64_t appliedConfig_ = 0;
     bool scheduling_ = false;
     BootTime schedulingSince_{};
     unsigned waitLinesLeft_ = 0;
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -191,7 +191,7 @@
             member.failedRuns_.insert(end.run_);
         }
     }
-    const auto *queue = hooks_.config_().queueNamed(job.submission_.queue_);
+    const auto *queue = queueOf(job);
     if (queue != nullptr && task.failedRuns_.size() >= queue->maxAttempts_ && !job.isClosed()) {
         failJob(job, "a task has reached its maximum number of attempts");
     }
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -96,10 +96,8 @@
 auto FleetScheduler::readySteps(TeamUse &urgentUse) -> std::vector<ReadyStep>
 {
     std::vector<ReadyStep> ready;
-    const auto &config = hooks_.config_();
     for (const auto &[id, job] : open_) {
-        const auto *queue = config.queueNamed(job->submission_.queue_);
-        // Jobs of a queue that was removed from the configuration are kept, but must not start.
+        const auto *queue = queueOf(*job);
         if (queue != nullptr && !queue->requiresAdmissionCheck_ && !job->isClosed()) {
             collectReady(*job, *queue, ready, urgentUse);
         }
--- a/marjoramfold/node/callerapi.cpp
+++ b/marjoramfold/node/callerapi.cpp
@@ -181,7 +181,15 @@
         return;
     }
     pendingSubmissions_[validated.job_].push_back(std::move(respond));
-    store({std::move(record)}, call.timeout_, JobAccepted{}, [this, id = validated.job_](const CallerAnswer &answer) {
+    std::vector<KeyedRecord> records;
+    // Stored together: the job goes on if its queue is missing from the configuration later, whatever happens to the leader.
+    if (const auto *queue = view_.config().queueNamed(validated.queue_); queue != nullptr) {
+        if (auto settings = feed_.queueSettings().missingRecord(*queue, view_.config().version()); settings && storedBytes(*settings) <= MaxRecordBytes) {
+            records.push_back(std::move(*settings));
+        }
+    }
+    records.push_back(std::move(record));
+    store(std::move(records), call.timeout_, JobAccepted{}, [this, id = validated.job_](const CallerAnswer &answer) {
         const auto node = pendingSubmissions_.extract(id);
         for (const auto &pendingRespond : node.mapped()) {
             pendingRespond(answer);
--- a/marjoramfold/node/instance.cpp
+++ b/marjoramfold/node/instance.cpp
@@ -122,6 +122,7 @@
     feedFollower_ = makeFollower();
     appender_ = makeAppender();
     view_ = std::make_unique<OperatorView>(binding_, scheduleStep, [this] {
+        feed_.queueSettings().observe(view_->config());
         if (leader_) {
             leader_->onConfigChanged();
         }
--- a/marjoramfold/node/jobfeed.cpp
+++ b/marjoramfold/node/jobfeed.cpp
@@ -79,6 +79,7 @@
     reloadedJobs_.clear();
     loadedLeadership_.clear();
     claims_.clear();
+    queueSettings_.beginReload();
 }
 
 auto JobFeed::endReload() -> void
@@ -88,6 +89,7 @@
     }
     const auto before = leader_;
     applyLoadedLeadership();
+    queueSettings_.endReload();
     reloading_ = false;
     notifyLeaderChange(before);
     std::vector<JobId> missing;
@@ -145,6 +147,8 @@
         applyCancel(id, stored.offset_, record.value_.has_value());
     } else if (prefix == PhasePrefix) {
         applyPhase(id, stored.offset_, record.value_);
+    } else if (prefix == LastQueueSettings::KeyPrefix) {
+        queueSettings_.applyRecord(record.key_, record.value_);
     } else if (prefix == LeaderPrefix && record.value_ && reloading_) {
         loadedLeadership_.push_back(stored);
     } else if (prefix == LeaderPrefix && record.value_) {
@@ -346,6 +350,11 @@
     return unmatched;
 }
 
+auto JobFeed::queueSettings() -> LastQueueSettings &
+{
+    return queueSettings_;
+}
+
 auto JobFeed::waitingJobs(const std::string &queue) const -> std::size_t
 {
     const auto found = waiting_.find(queue);
--- a/marjoramfold/node/jobfeed.h
+++ b/marjoramfold/node/jobfeed.h
@@ -2,6 +2,7 @@
 
 #include "marjoramfold/core/clock.h"
 #include "marjoramfold/fleet/jobplan.h"
+#include "marjoramfold/node/lastqueuesettings.h"
 #include "marjoramfold/store/streamstore.h"
 
 #include <cstdint>
@@ -113,6 +114,9 @@
     /// Cancellations applied before the given time whose submission has not appeared.
     [[nodiscard]] auto unmatchedCancellations(BootTime appliedBefore) const -> std::vector<JobId>;
 
+    /// Last settings of the queues that have jobs.
+    [[nodiscard]] auto queueSettings() -> LastQueueSettings &;
+
     /// Number of accepted jobs of a queue for which no task has started.
     [[nodiscard]] auto waitingJobs(const std::string &queue) const -> std::size_t;
 
@@ -152,6 +156,7 @@
     /// Leadership records of the load in progress.
     std::vector<StoredRecord> loadedLeadership_;
     bool reloading_ = false;
+    LastQueueSettings queueSettings_;
     LeaderView leader_;
     LeaderView predecessor_;
 };
--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -26,6 +26,10 @@
 constexpr std::chrono::milliseconds WorkerListWait{1000};
 /// Interval of the search for jobs whose retention has expired.
 constexpr std::chrono::seconds ExpiryCheckInterval{20};
+/// Settings of a queue are stored again when the feed has not shown them after this time.
+constexpr std::chrono::seconds SettingsRepeatInterval{2};
+/// Time for which a queue must be missing before its settings are deleted; instances accept jobs by configurations that are some seconds old.
+constexpr std::chrono::seconds MinQueueAbsence{60};
 } // namespace
 
 LeaderRuntime::LeaderRuntime(LeaderContext context, std::uint64_t epoch, JobFeed &feed)
@@ -225,6 +229,8 @@
         .with("workers", scheduler_->sessions().all().size())
         .with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - startedAt_).count());
     progress_.clear();
+    feed_.queueSettings().addMissing(queuesWithJobs(), context_.config_());
+    storeQueueSettings();
     if (auto claims = feed_.claimTombstones(epoch_); !claims.empty()) {
         feedAppender_->writeInOrder(std::move(claims), {});
     }
@@ -271,7 +277,8 @@
 auto LeaderRuntime::onConfigChanged() -> void
 {
     if (begun_) {
-        scheduler_->requestPass();
+        storeQueueSettings();
+        scheduler_->onConfigChanged();
     }
 }
 
@@ -315,6 +322,7 @@
         return;
     }
     scheduler_->tick();
+    storeQueueSettings();
     dropExpiredJobs();
     context_.schedule_(TickInterval, [weak = weak_from_this()] {
         if (const auto self = weak.lock(); self && !self->stopped_) {
@@ -340,6 +348,9 @@
         feedAppender_->write(JobFeed::jobTombstones(id), {});
         scheduler_->removeJob(id);
     }
+    if (auto unused = feed_.queueSettings().unusedRecords(queuesWithJobs(), now, MinQueueAbsence); !unused.empty()) {
+        feedAppender_->writeInOrder(std::move(unused), {});
+    }
     const auto unmatched = feed_.unmatchedCancellations(now - context_.dispatch_.finalStateRetention_);
     if (!unmatched.empty()) {
         LogLine(LogSeverity::Info, "unmatched_cancellations_dropped").with("count", unmatched.size()).with("first", unmatched.front().value());
@@ -350,6 +361,39 @@
     }
 }
 
+auto LeaderRuntime::queuesWithJobs() const -> std::set<std::string>
+{
+    std::set<std::string> queues;
+    for (const auto &[id, job] : feed_.jobs()) {
+        queues.insert(job.submission_.queue_);
+    }
+    return queues;
+}
+
+auto LeaderRuntime::storeQueueSettings() -> void
+{
+    auto &settings = feed_.queueSettings();
+    settings.observe(context_.config_());
+    if (!begun_) {
+        return;
+    }
+    const auto now = BootClock::now();
+    if (now - settingsSentAt_ > SettingsRepeatInterval) {
+        sentSettings_.clear();
+    }
+    std::vector<KeyedRecord> changed;
+    for (auto &record : settings.changedRecords()) {
+        if (auto &sent = sentSettings_[record.key_]; sent != *record.value_ && storedBytes(record) <= MaxRecordBytes) {
+            sent = *record.value_;
+            changed.push_back(std::move(record));
+        }
+    }
+    if (!changed.empty()) {
+        settingsSentAt_ = now;
+        feedAppender_->writeInOrder(std::move(changed), {});
+    }
+}
+
 auto LeaderRuntime::guardedCalls() -> WorkerCalls
 {
     // The process may be suspended between a decision and its call, so leadership is checked again here. The store may still confirm the
@@ -405,6 +449,9 @@
         self->feedAppender_->writeInOrder(std::move(records), {});
     };
     hooks.config_ = context_.config_;
+    hooks.lastQueueSettings_ = [this](const std::string &queue) {
+        return feed_.queueSettings().find(queue);
+    };
     hooks.evacuatedZones_ = context_.evacuatedZones_;
     hooks.wallNow_ = context_.wallNow_;
     hooks.schedule_ = context_.schedule_;
--- a/marjoramfold/node/leaderruntime.h
+++ b/marjoramfold/node/leaderruntime.h
@@ -10,8 +10,10 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_set>
 
@@ -69,6 +71,9 @@
     auto renew() -> void;
     auto tick() -> void;
     auto dropExpiredJobs() -> void;
+    /// Takes the settings of queues from the configuration and stores those that differ from the stored ones.
+    auto storeQueueSettings() -> void;
+    [[nodiscard]] auto queuesWithJobs() const -> std::set<std::string>;
     auto confirmedRecently() const -> bool;
     [[nodiscard]] auto guardedCalls() -> WorkerCalls;
     [[nodiscard]] auto appenderFor(const StreamId &stream) -> std::shared_ptr<OrderedAppender>;
@@ -99,5 +104,8 @@
     /// Time at which the newest renewal stored under this epoch was sent.
     BootTime confirmedAt_;
     BootTime lastExpiryCheck_{};
+    /// Records of queue settings that were sent lately, by key.
+    std::map<std::string, std::string> sentSettings_;
+    BootTime settingsSentAt_{};
 };
 } // namespace Marjoramfold
--- a/tests/support/simulatedfleet.cpp
+++ b/tests/support/simulatedfleet.cpp
@@ -96,6 +96,10 @@
     hooks.config_ = [this]() -> const OperatorConfig & {
         return config_;
     };
+    hooks.lastQueueSettings_ = [this](const std::string &queue) {
+        const auto found = lastQueues_.find(queue);
+        return found == lastQueues_.end() ? nullptr : &found->second;
+    };
     hooks.evacuatedZones_ = [this]() -> const std::unordered_set<std::string> & {
         return evacuatedZones_;
     };
--- a/tests/support/simulatedfleet.h
+++ b/tests/support/simulatedfleet.h
@@ -88,6 +88,8 @@
     [[nodiscard]] auto now() const -> std::chrono::milliseconds;
 
     OperatorConfig config_;
+    /// Last settings of queues that the store has.
+    std::map<std::string, QueueConfig> lastQueues_;
     std::unordered_set<std::string> evacuatedZones_;
     /// Run time of a task on a healthy worker; 2 s when not set.
     std::function<std::chrono::milliseconds(const TaskRef &)> work_;
--- a/tests/unit/test_callerapi.cpp
+++ b/tests/unit/test_callerapi.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <optional>
 
 using namespace Marjoramfold;
@@ -57,6 +58,15 @@
         return status;
     }
 
+    /// Number of stored submissions; the first one to a queue is stored together with the queue's settings.
+    [[nodiscard]] auto submissions() const -> std::size_t
+    {
+        const auto log = store_.log(feedStream().topic_);
+        return static_cast<std::size_t>(std::count_if(log.begin(), log.end(), [](const StoredRecord &stored) {
+            return stored.record_.key_ == std::string("j/") + Id;
+        }));
+    }
+
     [[nodiscard]] auto isReady() const -> bool
     {
         return api_->isReady();
@@ -179,6 +189,23 @@
     CHECK(*fixture.call(CallKind::Submit, JobPath) == 200);
 }
 
+TEST_CASE("the first submission to a queue stores the queue's settings with it", "[frontdoor]")
+{
+    // Guards against a job without a service and a priority, when its queue is removed and the leader and all instances change.
+    CallerApiFixture fixture;
+    fixture.start();
+    CHECK(*fixture.call(CallKind::Submit, JobPath) == 200);
+    CHECK(*fixture.call(CallKind::Submit, "/q/00112233445566ab") == 200);
+    REQUIRE(fixture.store_.appends_.size() == 2);
+    REQUIRE(fixture.store_.appends_[0].records_.size() == 2);
+    CHECK(fixture.store_.appends_[0].records_[0].key_ == "q/q");
+    CHECK(fixture.store_.appends_[1].records_.size() == 1);
+    LastQueueSettings settings;
+    settings.applyRecord("q/q", fixture.store_.appends_[0].records_[0].value_);
+    REQUIRE(settings.find("q") != nullptr);
+    CHECK(settings.find("q")->pool_ == "s");
+}
+
 TEST_CASE("a submission is answered according to the store's result", "[frontdoor]")
 {
     CallerApiFixture fixture;
@@ -188,7 +215,8 @@
     {
         CHECK(*fixture.call(CallKind::Submit, JobPath) == 200);
         CHECK(*fixture.call(CallKind::Submit, JobPath) == 200);
-        CHECK(fixture.store_.log(feedStream().topic_).size() == 1);
+        CHECK(fixture.submissions() == 1);
+        CHECK(fixture.store_.log(feedStream().topic_).size() == 2);
         CHECK(*fixture.call(CallKind::Query, JobPath) == 200);
         CHECK(std::get<JobStateAnswer>(*fixture.last_).phase_ == JobPhase::Queued);
         fixture.call(CallKind::Query, "/q/");
@@ -213,7 +241,8 @@
         CHECK(*status == 0);
         fixture.schedule_.advance(200ms);
         CHECK(*status == 200);
-        CHECK(fixture.store_.log(feedStream().topic_).size() == 1);
+        CHECK(fixture.submissions() == 1);
+        CHECK(fixture.store_.log(feedStream().topic_).size() == 2);
     }
 
     SECTION("appends time out: the caller gets status 504, not 503, since the submission may have been stored")
