Ask a worker anew when its first entry with a start time arrives

An entry without a start time, read first, gives a session without incarnation. The entry now ends the renewal in flight and raises the fence.

--- a/marjoramfold/dispatch/workerincarnations.cpp
+++ b/marjoramfold/dispatch/workerincarnations.cpp
@@ -47,6 +47,11 @@
 {
     const auto changed = !session.isCurrent() || session.entry_.draining_ != entry.draining_ || session.entry_.capacity_ != entry.capacity_;
     session.announced_.reset();
+    if (session.incarnation_ == 0 && entry.incarnation_ != 0 && session.renewing_) {
+        // The renewal in flight went to the address of an entry without a start time. Its answer says nothing of this incarnation.
+        session.renewing_ = false;
+        session.fencingToken_ = nextToken();
+    }
     session.incarnation_ = session.incarnation_ == 0 ? entry.incarnation_ : session.incarnation_;
     if (entry.draining_ && !session.entry_.draining_) {
         LogLine(LogSeverity::Info, "worker_draining").with("worker", entry.id_.value()).with("remaining_ms", entry.remaining_.count());
--- a/tests/unit/test_workerincarnations.cpp
+++ b/tests/unit/test_workerincarnations.cpp
@@ -331,3 +331,28 @@
     CHECK(fleet.starts_[FirstJob].size() == 600);
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
+
+TEST_CASE("a worker whose entry without a start time was read first is used once its own entry arrives", "[dispatch][inherit]")
+{
+    // Guards against a worker that is never asked again: its own entry came while a renewal to the odd entry's address had no answer (review/7).
+    SimulatedFleet fleet;
+    fleet.addWorkers(1, "zone-1", "r1-1");
+    auto &worker = fleet.worker(fleet.workerIds().front());
+    const auto own = worker.entry_;
+    // Within and after the time in which the renewal has no answer.
+    const auto ownEntryAfter = GENERATE(0ms, 50ms, 300ms, 595ms, 610ms, 1'000ms);
+    CAPTURE(ownEntryAfter.count());
+    worker.entry_.incarnation_ = 0;
+    worker.reachable_ = false;
+    fleet.startLeader();
+    fleet.advance(ownEntryAfter);
+    worker.entry_ = own;
+    worker.reachable_ = true;
+    fleet.scheduler_->updateWorker(own);
+    fleet.submit(makeSubmission(FirstJob.value(), "batch", 4, SmallTask));
+    fleet.advance(1500ms);
+    CHECK(fleet.starts_[FirstJob].size() == 4);
+    fleet.advance(3s);
+    CHECK(fleet.phaseOf(FirstJob) == JobPhase::Completed);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
