Count the leases of a lost leader from its last record and as they were requested

The time without confirmation now counts from the former leader's last record in the feed. Start commands, renewals of workers with runs that they have not reported, and scheduling passes stop 1.5 s after the store last confirmed the leader; only these may meet an incarnation with another clock, which grants the longest lease.

With a longest lease of 6 s the wait is 10.9 s after the new leader began, more than the lease plus 2 s: fewer renewals without the store would end all runs in its outages of 6.7 s.

test_workerleases passes both limits to startRenewals(), with the values that it had.

--- a/marjoramfold/dispatch/dispatchoptions.h
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -17,6 +17,9 @@
     std::chrono::milliseconds leaseMargin_{200};
     /// A leader whose leadership the store no longer confirms may renew leases for this long; its successor relies on the limit.
     std::chrono::milliseconds maxRenewalWithoutStore_{5000};
+    /// Such a leader sends start commands, and renews the leases of workers with runs that they have not reported, only for this long: a worker
+    /// that was restarted, whose clock the leader does not know, may grant the longest lease for them. Beyond the delay of a slow store.
+    std::chrono::milliseconds maxStartWithoutStore_{1500};
     /// Longest time that a worker delays a renewal response while no run ends, and so the interval of progress reports; the platform
     /// allows 2 s.
     std::chrono::milliseconds renewalWait_{1000};
--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -142,10 +142,20 @@
     }
 }
 
-auto FleetScheduler::startScheduling(BootTime previousRenewalsUntil) -> void
+auto FleetScheduler::startScheduling(BootTime formerCommandsUntil) -> void
+{
+    startScheduling({formerCommandsUntil, formerCommandsUntil});
+}
+
+auto FleetScheduler::limitFormerCommands(const FormerCommands &former) -> void
+{
+    sessions_.limitFormerCommands(former);
+}
+
+auto FleetScheduler::startScheduling(const FormerCommands &former) -> void
 {
     adoptRestoredRuns();
-    sessions_.startRenewals(previousRenewalsUntil);
+    sessions_.startRenewals(former);
     scheduling_ = true;
     schedulingSince_ = BootClock::now();
     // A previous leader may have stored progress without completing or failing the job.
@@ -369,6 +379,10 @@
 auto FleetScheduler::runTimedPass() -> void
 {
     const auto startedAt = BootClock::now();
+    if (hooks_.maySendStarts_ && !hooks_.maySendStarts_()) {
+        // The next tick requests a pass again.
+        return;
+    }
     {
         const WorkMeter::Scope scope(hooks_.workMeter_, WorkKind::Passes);
         runPass();
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -38,6 +38,8 @@
     /// Returns the availability zones that get no new work.
     std::function<const std::unordered_set<std::string> &()> evacuatedZones_;
     std::function<std::chrono::milliseconds()> wallNow_;
+    /// False while start commands would not be sent, so that nothing is placed; null for always true.
+    std::function<bool()> maySendStarts_;
     std::function<void(std::chrono::milliseconds, std::function<void()>)> schedule_;
     /// Measures the work of the control thread; null for no measurement.
     WorkMeter *workMeter_ = nullptr;
@@ -86,8 +88,14 @@
     /// must be restored in the order of their keys.
     auto restoreProgress(const std::string &key, const std::string &value) -> void;
 
-    /// Enables scheduling once all jobs and progress records are loaded. A previous leader may renew leases until `previousRenewalsUntil`.
-    auto startScheduling(BootTime previousRenewalsUntil) -> void;
+    /// Enables scheduling once all jobs and progress records are loaded.
+    auto startScheduling(const FormerCommands &former) -> void;
+
+    /// The same, when former leaders may have sent commands of any kind until the given time.
+    auto startScheduling(BootTime formerCommandsUntil) -> void;
+
+    /// Applies a tighter limit of what former leaders may have sent.
+    auto limitFormerCommands(const FormerCommands &former) -> void;
 
     /// Applies an entry of the platform's worker list.
     auto updateWorker(const WorkerEntry &entry) -> void;
--- a/marjoramfold/dispatch/workerrenewals.cpp
+++ b/marjoramfold/dispatch/workerrenewals.cpp
@@ -35,7 +35,7 @@
 
 auto WorkerSessions::renew(WorkerSession &session) -> void
 {
-    if (session.renewing_ || !alive_ || !previousRenewalsUntil_ || !needsRenewal(session)) {
+    if (session.renewing_ || !alive_ || !former_ || !needsRenewal(session)) {
         return;
     }
     session.renewing_ = true;
@@ -62,7 +62,10 @@
         return !state.reported_ && !state.endMayFollow_ && state.stage_ != RunStage::Recorded && state.stage_ != RunStage::StartSent;
     });
     const auto acknowledges = !pollOnly && !session.awaitsReport_ && !hasUnreportedRun && session.lastEndRecorded_ > session.lastEndAcknowledged_;
-    const RenewCommand command{session.entry_.id_, session.address(), session.fencingToken_, acknowledges ? session.lastEndRecorded_ : 0, until, wait, failing};
+    RenewCommand command{session.entry_.id_, session.address(), session.fencingToken_, acknowledges ? session.lastEndRecorded_ : 0, until, wait, failing};
+    command.hasUnreportedRuns_ = std::any_of(session.runs_.begin(), session.runs_.end(), [](const auto &run) {
+        return !run.second.reported_ && run.second.stage_ != RunStage::Recorded;
+    });
     calls_.renew_(command, [this, alive = std::weak_ptr(alive_), incarnation = session.incarnation_, now, command](const CommandResponse &response) {
         if (!alive.expired()) {
             onRenewResponse(command.worker_, incarnation, now, command, response);
@@ -72,7 +75,7 @@
 
 auto WorkerSessions::queueRenewal(WorkerSession &session) -> void
 {
-    if (session.renewing_ || session.renewalQueued_ || !alive_ || !previousRenewalsUntil_ || !needsRenewal(session)) {
+    if (session.renewing_ || session.renewalQueued_ || !alive_ || !former_ || !needsRenewal(session)) {
         return;
     }
     session.renewalQueued_ = true;
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -105,6 +105,8 @@
     BootTime renewedAt_{};
     /// First of the current series of failed calls; zero when the last call succeeded.
     BootTime unreachableSince_{};
+    /// When it was last logged what the runs of the silent worker wait for.
+    BootTime proofLoggedAt_{};
     /// Last progress or successful end of a run on the worker.
     BootTime lastHealthyAt_{};
     /// Jobs with failed or stalled runs on the worker since its last success.
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -13,6 +13,11 @@
 /// Low bits of a fencing token, below the epoch; a leader issues fewer than 2^20 tokens.
 constexpr unsigned TokenCounterBits = 20;
 
+/// Lines on runs of silent workers: at most so many a tick, one for each worker in this interval, and none for a short disturbance.
+constexpr unsigned MaxProofLinesPerTick = 4;
+constexpr std::chrono::seconds ProofLogInterval{5};
+constexpr std::chrono::milliseconds MinLoggedSilence{1000};
+
 constexpr std::array StageNames{
     NamedValue<RunStage>{RunStage::Recorded, "recorded"},
     NamedValue<RunStage>{RunStage::StartSent, "ordered"},
@@ -56,9 +61,14 @@
     commands_.add(lane, std::move(send));
 }
 
-auto WorkerSessions::startRenewals(BootTime previousRenewalsUntil) -> void
+auto WorkerSessions::limitFormerCommands(const FormerCommands &former) -> void
+{
+    former_ = former;
+}
+
+auto WorkerSessions::startRenewals(const FormerCommands &former) -> void
 {
-    previousRenewalsUntil_ = previousRenewalsUntil;
+    former_ = former;
     for (const auto &[id, session] : sessions_) {
         queueRenewal(*session);
     }
@@ -372,39 +382,44 @@
     }
 }
 
-auto WorkerSessions::isLeaseExpired(const WorkerSession &session, const WorkerRun &run, BootTime now) const -> bool
+auto WorkerSessions::leaseEnd(const WorkerSession &session, const WorkerRun &run) const -> std::optional<BootTime>
 {
     const auto stretched = [this](std::chrono::milliseconds time) {
         return std::chrono::duration_cast<BootTime::duration>(time * (1.0 / (1.0 - options_.maxClockDrift_)));
     };
     if (session.leaseUntil_.count() == 0 && !session.adopted_) {
         // No command was sent yet.
-        return false;
+        return std::nullopt;
     }
     if (!session.responded_ && session.adopted_) {
-        if (!previousRenewalsUntil_) {
-            return false;
+        if (!former_) {
+            return std::nullopt;
         }
-        // This leader's renewals may have extended the lease although their responses were lost. The last lease may have been requested for
-        // the clock of another incarnation, which shortens it only to the longest one.
-        const auto renewedUntil = std::max(*previousRenewalsUntil_, session.leaseRequestedAt_) + options_.commandTimeout_;
-        return now > renewedUntil + stretched(options_.maxLease_) + options_.leaseMargin_;
+        // This leader's renewals may have extended the lease although their responses were lost. They, and the former leader's start commands and
+        // renewals for unreported runs, may have met another incarnation, which shortens a lease for another clock only to the longest one.
+        const auto longest = std::max(former_->unreportedUntil_, session.leaseRequestedAt_) + stretched(options_.maxLease_);
+        // Later renewals of the former leader concern runs that its worker had reported, so they grant no more than was requested. The worker's
+        // clock may have fallen behind the estimate since the worker's last answer.
+        const auto silence = options_.maxRenewalWithoutStore_;
+        const auto requested = std::min(options_.requestedLease_, options_.maxLease_);
+        const auto ordered = former_->reportedUntil_ + std::min(stretched(requested + silence) - silence, stretched(options_.maxLease_));
+        return std::max(longest, ordered) + options_.commandTimeout_ + options_.leaseMargin_;
     }
     const auto longest = std::max(session.clockAt_, session.leaseRequestedAt_ + options_.commandTimeout_) + stretched(options_.maxLease_);
     if (run.stage_ != RunStage::Recorded && !run.reported_) {
         // An incarnation with another clock may have accepted the run, and shortened the requested lease only to the longest one.
-        return now > longest + options_.leaseMargin_;
+        return longest + options_.leaseMargin_;
     }
     const auto remaining = std::max(std::chrono::milliseconds(0), session.leaseUntil_ - session.clock_);
     // A lease end that was computed for another clock is shortened by the worker to the longest lease.
-    return now > std::min(session.clockAt_ + stretched(remaining), longest) + options_.leaseMargin_;
+    return std::min(session.clockAt_ + stretched(remaining), longest) + options_.leaseMargin_;
 }
 
 auto WorkerSessions::endRunsWithExpiredLease(WorkerSession &session, BootTime now) -> void
 {
     std::vector<RunKey> expired;
     for (const auto &[key, run] : session.runs_) {
-        if (isLeaseExpired(session, run, now)) {
+        if (const auto end = leaseEnd(session, run); end && now > *end) {
             expired.push_back(key);
         }
     }
@@ -413,6 +428,32 @@
     }
 }
 
+auto WorkerSessions::logAwaitedProof(WorkerSession &session, BootTime now) const -> bool
+{
+    const auto &[key, run] = *session.runs_.begin();
+    const auto silent = session.unreachableSince_ != BootTime{} && now - session.unreachableSince_ >= MinLoggedSilence;
+    if (!silent || now - session.proofLoggedAt_ < ProofLogInterval) {
+        return false;
+    }
+    session.proofLoggedAt_ = now;
+    std::optional<BootTime> latest;
+    for (const auto &[other, state] : session.runs_) {
+        latest = std::max(latest, leaseEnd(session, state));
+    }
+    LogLine(LogSeverity::Warning, "runs_await_proof")
+        .job(key.first.job_.value())
+        .with("worker", session.entry_.id_.value())
+        .with("runs", session.runs_.size())
+        .with("task", toString(key.first))
+        .with("run", key.second)
+        .with("stage", toString(run.stage_))
+        .with("proof", latest ? "report_or_lease_end" : "report")
+        .with("lease_ends_in_ms", latest ? milliseconds(*latest - now).count() : -1)
+        .with("silent_ms", milliseconds(now - session.unreachableSince_).count())
+        .with("adopted", session.adopted_);
+    return true;
+}
+
 auto WorkerSessions::tick(BootTime now) -> void
 {
     std::erase_if(sessions_, [this, now](const auto &entry) {
@@ -425,6 +466,7 @@
             ids.push_back(id);
         }
     }
+    auto proofLinesLeft = MaxProofLinesPerTick;
     for (const auto &id : ids) {
         auto &session = *sessions_[id];
         if (session.unreachableSince_ != BootTime{} || !session.responded_) {
@@ -432,6 +474,9 @@
             if (session.runs_.empty()) {
                 continue;
             }
+            if (proofLinesLeft > 0 && logAwaitedProof(session, now)) {
+                --proofLinesLeft;
+            }
         }
         for (const auto &[key, run] : session.runs_) {
             if (run.stage_ == RunStage::Stopping && now - run.stopSentAt_ > options_.maxStopTime_ + options_.commandTimeout_) {
--- a/marjoramfold/dispatch/workersessions.h
+++ b/marjoramfold/dispatch/workersessions.h
@@ -26,6 +26,14 @@
     std::function<void(RenewCommand, std::function<void(CommandResponse)>)> renew_;
 };
 
+/// Until when former leaders may have sent commands to workers.
+struct FormerCommands {
+    /// Renewals of leases for runs that their workers had reported.
+    BootTime reportedUntil_{};
+    /// Start commands, and renewals for runs that their workers had not reported.
+    BootTime unreportedUntil_{};
+};
+
 /// Reports that a run ended or was never started.
 struct RunEnded {
     WorkerId worker_;
@@ -91,8 +99,11 @@
     /// Removes the entries of all workers that are not in `listed`.
     auto removeEntriesExcept(const std::unordered_map<WorkerId, bool> &listed) -> void;
 
-    /// Asks every worker for a report and starts to renew leases. A previous leader may renew them until `previousRenewalsUntil`.
-    auto startRenewals(BootTime previousRenewalsUntil) -> void;
+    /// Asks every worker for a report and starts to renew leases.
+    auto startRenewals(const FormerCommands &former) -> void;
+
+    /// Applies a tighter limit of what former leaders may have sent.
+    auto limitFormerCommands(const FormerCommands &former) -> void;
 
     /// Adopts a run that a previous leader stored for a worker incarnation; its state is queried from the worker.
     auto adoptRun(const WorkerId &worker, std::uint64_t incarnation, const TaskRef &task, std::uint32_t run, WorkerRun state) -> void;
@@ -134,7 +145,9 @@
     auto findOrCreate(const WorkerId &id) -> WorkerSession &;
     auto nextToken() -> std::uint64_t;
     auto nextLeaseEnd(const WorkerSession &session, BootTime now) const -> std::chrono::milliseconds;
-    auto isLeaseExpired(const WorkerSession &session, const WorkerRun &run, BootTime now) const -> bool;
+    [[nodiscard]] auto leaseEnd(const WorkerSession &session, const WorkerRun &run) const -> std::optional<BootTime>;
+    /// Logs what the runs of a silent worker wait for; false when nothing is due.
+    auto logAwaitedProof(WorkerSession &session, BootTime now) const -> bool;
     auto updateClock(WorkerSession &session, std::chrono::milliseconds clock) -> void;
     auto applyEntry(WorkerSession &session, const WorkerEntry &entry) -> void;
     auto onStartResponse(const WorkerId &id, std::uint64_t incarnation, const RunKey &key, std::uint64_t token, const CommandResponse &response) -> void;
@@ -169,7 +182,7 @@
     Schedule schedule_;
     PacedQueue commands_;
     /// Empty until startRenewals() is called.
-    std::optional<BootTime> previousRenewalsUntil_;
+    std::optional<FormerCommands> former_;
     WorkerSessionMap sessions_;
     /// Expires on shutdown, so that late callbacks do nothing.
     std::shared_ptr<bool> alive_;
--- a/marjoramfold/fleet/workerentry.h
+++ b/marjoramfold/fleet/workerentry.h
@@ -111,6 +111,8 @@
     std::chrono::milliseconds wait_{0};
     /// Open a new connection, because the previous one stopped responding.
     bool freshConnection_ = false;
+    /// The worker has not reported each of its runs, so that another incarnation, with another clock, may run them.
+    bool hasUnreportedRuns_ = false;
 };
 
 /// Outcome of a command or lease renewal.
--- a/marjoramfold/node/jobfeed.cpp
+++ b/marjoramfold/node/jobfeed.cpp
@@ -274,6 +274,13 @@
     const auto now = BootClock::now();
     if (record->action_ != LeadershipAction::Claim) {
         // A renewal or resignation implies that the leader's claim was valid.
+        if (record->epoch_ > leader_.epoch_) {
+            // A load does not tell which leader came before.
+            predecessor_ = {};
+        } else if (record->epoch_ == predecessor_.epoch_) {
+            // The store still confirmed the former leader after the claim that succeeded it.
+            predecessor_.lastRecordAt_ = now;
+        }
         if (record->epoch_ >= leader_.epoch_) {
             const auto resigned = record->action_ == LeadershipAction::Resign;
             auto firstRenewalAt = record->epoch_ == leader_.epoch_ ? leader_.firstRenewalAt_ : std::nullopt;
--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -234,18 +234,28 @@
     if (auto claims = feed_.claimTombstones(epoch_); !claims.empty()) {
         feedAppender_->writeInOrder(std::move(claims), {});
     }
-    scheduler_->startScheduling(othersRenewUntil());
+    scheduler_->startScheduling(formerCommands());
 }
 
-auto LeaderRuntime::othersRenewUntil() const -> BootTime
+auto LeaderRuntime::formerCommands() const -> FormerCommands
 {
-    // A former leader stops renewing leases when it resigns, or when the store has not confirmed its leadership for this long. The
-    // leaders before one that resigned may still be within that time.
+    // A former leader stops sending leases when it resigns, or some time after the store last confirmed its leadership. The leaders before one
+    // that resigned may still be within that time.
+    const auto &options = context_.dispatch_;
+    const auto within = [&options](BootTime confirmed) {
+        return FormerCommands{confirmed + options.maxRenewalWithoutStore_, confirmed + options.maxStartWithoutStore_};
+    };
     const auto &predecessor = feed_.predecessor();
     if (predecessor.resigned_ && predecessor.firstRenewalAt_) {
-        return std::max(predecessor.lastRecordAt_, *predecessor.firstRenewalAt_ + context_.dispatch_.maxRenewalWithoutStore_);
+        const auto before = within(*predecessor.firstRenewalAt_);
+        return {std::max(predecessor.lastRecordAt_, before.reportedUntil_), std::max(predecessor.lastRecordAt_, before.unreportedUntil_)};
+    }
+    // The store confirms no record of a former leader behind this leader's first renewal, so the feed has shown the last one.
+    const auto &leader = feed_.leader();
+    if (leader.epoch_ == epoch_ && leader.firstRenewalAt_ && predecessor.firstRenewalAt_) {
+        return within(std::min(predecessor.lastRecordAt_, *othersFencedAt_));
     }
-    return *othersFencedAt_ + context_.dispatch_.maxRenewalWithoutStore_;
+    return within(*othersFencedAt_);
 }
 
 auto LeaderRuntime::onSubmitted(const Submission &submission) -> void
@@ -310,9 +320,14 @@
     });
 }
 
+auto LeaderRuntime::confirmedWithin(std::chrono::milliseconds time) const -> bool
+{
+    return BootClock::now() - confirmedAt_ < time;
+}
+
 auto LeaderRuntime::confirmedRecently() const -> bool
 {
-    return BootClock::now() - confirmedAt_ < context_.dispatch_.maxRenewalWithoutStore_;
+    return confirmedWithin(context_.dispatch_.maxRenewalWithoutStore_);
 }
 
 auto LeaderRuntime::tick() -> void
@@ -321,6 +336,9 @@
         context_.leadershipExpired_();
         return;
     }
+    if (begun_) {
+        scheduler_->limitFormerCommands(formerCommands());
+    }
     scheduler_->tick();
     storeQueueSettings();
     dropExpiredJobs();
@@ -399,13 +417,13 @@
     // The process may be suspended between a decision and its call, so leadership is checked again here. The store may still confirm the
     // leadership afterwards, so a call that is not sent is answered like one that the worker refuses.
     auto calls = context_.binding_.workers_;
-    const auto guard = [weak = weak_from_this()](const auto &call) {
-        return [weak, call](auto command, std::function<void(CommandResponse)> callback) {
+    const auto guard = [weak = weak_from_this()](const auto &call, std::chrono::milliseconds limit) {
+        return [weak, call, limit](auto command, std::function<void(CommandResponse)> callback) {
             const auto self = weak.lock();
             if (!self || self->stopped_) {
                 return;
             }
-            if (self->confirmedRecently()) {
+            if (self->confirmedWithin(limit)) {
                 call(std::move(command), std::move(callback));
                 return;
             }
@@ -417,7 +435,17 @@
             });
         };
     };
-    return {guard(calls.start_), guard(calls.stop_), guard(calls.renew_)};
+    const auto &options = context_.dispatch_;
+    const auto renew = [weak = weak_from_this(), call = calls.renew_](RenewCommand command, std::function<void(CommandResponse)> callback) {
+        const auto self = weak.lock();
+        if (self && command.hasUnreportedRuns_ && !self->confirmedWithin(self->context_.dispatch_.maxStartWithoutStore_)) {
+            // The report is asked for, and the lease stays as it is.
+            command.leaseUntil_ = std::chrono::milliseconds(0);
+        }
+        call(std::move(command), std::move(callback));
+    };
+    return {
+        guard(calls.start_, options.maxStartWithoutStore_), guard(calls.stop_, options.maxRenewalWithoutStore_), guard(renew, options.maxRenewalWithoutStore_)};
 }
 
 auto LeaderRuntime::schedulerHooks() -> SchedulerHooks
@@ -453,6 +481,9 @@
         return feed_.queueSettings().find(queue);
     };
     hooks.evacuatedZones_ = context_.evacuatedZones_;
+    hooks.maySendStarts_ = [this] {
+        return confirmedWithin(context_.dispatch_.maxStartWithoutStore_);
+    };
     hooks.wallNow_ = context_.wallNow_;
     hooks.schedule_ = context_.schedule_;
     hooks.workMeter_ = context_.workMeter_;
--- a/marjoramfold/node/leaderruntime.h
+++ b/marjoramfold/node/leaderruntime.h
@@ -66,15 +66,17 @@
     auto onWorkerRecords(const std::vector<StoredRecord> &records, bool loaded) -> void;
     auto onUnreadableEntry(const WorkerId &id, const Error &error) -> void;
     auto beginWhenReady() -> void;
-    /// Time until which a former leader may renew leases.
-    [[nodiscard]] auto othersRenewUntil() const -> BootTime;
+    /// Until when former leaders may have sent commands; the limit becomes tighter once the feed shows this leader's first renewal.
+    [[nodiscard]] auto formerCommands() const -> FormerCommands;
     auto renew() -> void;
     auto tick() -> void;
     auto dropExpiredJobs() -> void;
     /// Takes the settings of queues from the configuration and stores those that differ from the stored ones.
     auto storeQueueSettings() -> void;
     [[nodiscard]] auto queuesWithJobs() const -> std::set<std::string>;
-    auto confirmedRecently() const -> bool;
+    /// True when the store has confirmed the leadership within the given time.
+    [[nodiscard]] auto confirmedWithin(std::chrono::milliseconds time) const -> bool;
+    [[nodiscard]] auto confirmedRecently() const -> bool;
     [[nodiscard]] auto guardedCalls() -> WorkerCalls;
     [[nodiscard]] auto appenderFor(const StreamId &stream) -> std::shared_ptr<OrderedAppender>;
     [[nodiscard]] auto schedulerHooks() -> SchedulerHooks;
--- a/tests/support/leadersite.h
+++ b/tests/support/leadersite.h
@@ -22,8 +22,6 @@
 inline const JobId FirstJob("00000000000000a1");
 inline const TaskRef FirstTask{FirstJob, 0, 0, 0};
 inline const StreamId WorkerStream{"keyed.workers", 0};
-/// Longest lease that a worker grants.
-constexpr std::chrono::milliseconds MaxLease{6000};
 
 /// A worker whose clock is the simulated time and whose runs end only with their lease or by a stop command.
 struct LeasedWorker {
@@ -102,6 +100,7 @@
     ManualSchedule schedule_;
     OperatorConfig config_;
     std::unordered_set<std::string> evacuatedZones_;
+    DispatchOptions dispatch_;
     std::map<std::string, LeasedWorker> workers_;
     /// Largest number of runs of the first task at the same time.
     std::size_t mostRuns_ = 0;
@@ -162,7 +161,8 @@
                 heldAppends_.push_back([append, request, callback] {
                     append(request, callback);
                 });
-            } else if (appendsRefused_ || (request.records_.empty() && announcementsRefused_)) {
+            } else if (appendsRefused_ || (renewalsRefused_ && request.stream_.topic_ == feedStream().topic_)
+                       || (request.records_.empty() && announcementsRefused_)) {
                 callback(AppendRefused{"busy"});
             } else {
                 append(request, callback);
@@ -183,6 +183,7 @@
             entry.clock_ = std::chrono::milliseconds(std::stoll(value.substr(0, space)));
             return entry;
         };
+        context.dispatch_ = site_.dispatch_;
         context.instance_ = name_;
         context.process_ = process_;
         context.config_ = [this]() -> const OperatorConfig & {
@@ -240,6 +241,8 @@
     /// The store refuses all appends of this instance.
     bool appendsRefused_ = false;
     bool announcementsRefused_ = false;
+    /// The store refuses the records of this instance in the feed, but not its progress.
+    bool renewalsRefused_ = false;
     /// Workers that this instance cannot reach.
     std::set<std::string> unreachable_;
     /// Workers whose answers do not arrive here.
@@ -280,7 +283,7 @@
 
     auto extendLease(LeasedWorker &worker, std::chrono::milliseconds until) const -> void
     {
-        worker.leaseUntil_ = std::max(worker.leaseUntil_, std::min(until, site_.now_ + MaxLease));
+        worker.leaseUntil_ = std::max(worker.leaseUntil_, std::min(until, site_.now_ + site_.dispatch_.maxLease_));
     }
 
     auto makeCalls() -> WorkerCalls
--- a/tests/unit/test_leaderruntime.cpp
+++ b/tests/unit/test_leaderruntime.cpp
@@ -265,3 +265,63 @@
         CHECK_FALSE(newestOf(key).has_value());
     }
 }
+
+TEST_CASE("runs on a worker that is lost together with the leader block their tasks for the lease and two seconds at most", "[leader][inherit]")
+{
+    // Guards against the longest lease of a worker being counted from the last renewal without the store, which no leader asks for (review/6).
+    Site site;
+    site.dispatch_.maxLease_ = 10s;
+    Leader first(site, "first", 1);
+    first.follow();
+    Leader second(site, "second", 2);
+    second.follow();
+    site.store_.put(feedStream().topic_, JobFeed::submissionRecord(longJob()));
+    site.list("one");
+    first.lead();
+    site.advance(3s);
+    REQUIRE(site.isRunningOn("one"));
+    site.list("two");
+    second.unreachable_ = {"one"};
+
+    SECTION("when the leader is lost")
+    {
+        first.stop();
+        site.advance(1100ms);
+        second.lead();
+        site.advance(12s);
+    }
+
+    SECTION("when the leader still renews the lease, as the store answers it no more")
+    {
+        // The lease lasts until 6 s after the last renewal, which is sent within 5 s of the last answer.
+        first.appendsRefused_ = true;
+        site.advance(1100ms);
+        second.lead();
+        site.advance(5s);
+        CHECK(site.isRunningOn("one"));
+        site.advance(7s);
+    }
+    CHECK(site.isRunningOn("two"));
+    CHECK(site.mostRuns_ == 1);
+}
+
+TEST_CASE("no start command is sent long after the store last confirmed the leader", "[leader][inherit]")
+{
+    // Guards the successor's assumption: a start command, which another incarnation may take for the longest lease, is not sent that late.
+    Site site;
+    site.dispatch_.maxLease_ = 10s;
+    Leader first(site, "first", 1);
+    first.follow();
+    site.store_.put(feedStream().topic_, JobFeed::submissionRecord(longJob()));
+    first.lead();
+    site.advance(1s);
+    // Only renewals of the leadership are refused, so that the record of the run is stored.
+    first.renewalsRefused_ = true;
+    site.advance(1600ms);
+    site.list("one");
+    site.advance(1s);
+    CHECK(!site.isRunningOn("one"));
+    first.renewalsRefused_ = false;
+    site.advance(2s);
+    CHECK(site.isRunningOn("one"));
+}
--- a/tests/unit/test_workerincarnations.cpp
+++ b/tests/unit/test_workerincarnations.cpp
@@ -356,3 +356,32 @@
     CHECK(fleet.phaseOf(FirstJob) == JobPhase::Completed);
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
+
+TEST_CASE("a run of a former leader is started again at once when its worker answers as another incarnation", "[dispatch][inherit]")
+{
+    // Guards against a task that waits for the lease of a worker that was restarted together with the loss of the leader.
+    SimulatedFleet fleet;
+    fleet.addWorkers(1, "zone-1", "r1-1");
+    fleet.startLeader();
+    fleet.work_ = [](const TaskRef &) {
+        return 20'000ms;
+    };
+    fleet.submit(makeSubmission(FirstJob.value(), "batch", 1, SmallTask));
+    fleet.advance(1s);
+    REQUIRE(fleet.runningTasks() == 1);
+    const auto entryIsOld = GENERATE(false, true);
+    CAPTURE(entryIsOld);
+    const auto lost = fleet.workerIds().front();
+    const auto before = fleet.worker(lost).entry_;
+    fleet.killLeader();
+    fleet.restartWorker(lost);
+    fleet.startLeader();
+    if (entryIsOld) {
+        fleet.scheduler_->updateWorker(before);
+    }
+    fleet.addWorkers(1, "zone-1", "r1-2");
+    fleet.advance(2s);
+    CHECK(fleet.runningTasks() == 1);
+    CHECK(fleet.starts_[FirstJob].size() == 2);
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
--- a/tests/unit/test_workerleases.cpp
+++ b/tests/unit/test_workerleases.cpp
@@ -44,7 +44,7 @@
         sessions_ = std::make_unique<WorkerSessions>(options_, 1, calls, events, [this](std::chrono::milliseconds pause, std::function<void()> step) {
             steps_.emplace_back(now_ + pause, std::move(step));
         });
-        sessions_->startRenewals(BootTime(now_));
+        sessions_->startRenewals({BootTime(now_), BootTime(now_)});
     }
 
     ~SilentWorker()
