Add an account of jobs from log lines

Nothing says for many jobs together what they waited for and what work they lost; it took reading the lines of each job. marjoramfold/accounting parses log lines of instances, orders them by time, and sums waits and lost work by cause. It has no I/O and is not part of the service. A line that cannot be read is counted.

--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -17,6 +17,7 @@
     [worker]="core observability http"
     [routing]="core observability http rules log"
     [fleet]="core"
+    [accounting]="core"
     [store]="core observability"
     [dispatch]="core observability fleet store"
     [node]="core observability http fleet store dispatch"
