Log objective, priority and team of a job with its phase

The log did not say whether a job was late: the rank of urgent steps has no lateness, and no line has the objective. job_phase has objective_ms, priority and team now. Jobs with a due time have no objective there, since age_ms counts from the acceptance.

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -263,16 +263,32 @@
     return records;
 }
 
+auto FleetScheduler::logPhase(const TrackedJob &job, JobPhase phase) const -> void
+{
+    const auto &submission = job.submission_;
+    LogLine line(LogSeverity::Info, "job_phase");
+    line.job(submission.id_.value())
+        .with("queue", submission.queue_)
+        .with("phase", static_cast<int>(phase))
+        .with("age_ms", (hooks_.wallNow_() - submission.acceptedAt_).count())
+        .with("team", submission.team_.value());
+    const auto *queue = hooks_.config_().queueNamed(submission.queue_);
+    if (queue == nullptr) {
+        return;
+    }
+    line.with("priority", queue->priority_);
+    // The age counts from the acceptance, so it cannot be compared with the objective of a job that is due later.
+    if (submission.plan_.occurrences_ == 0) {
+        line.with("objective_ms", objectiveOf(submission.plan_, *queue, runTimeRatioOf(queue->name_)).count());
+    }
+}
+
 auto FleetScheduler::setPhase(TrackedJob &job, JobPhase phase) -> void
 {
     if (job.phase_ == phase || isFinalPhase(job.phase_)) {
         return;
     }
-    LogLine(LogSeverity::Info, "job_phase")
-        .job(job.submission_.id_.value())
-        .with("queue", job.submission_.queue_)
-        .with("phase", static_cast<int>(phase))
-        .with("age_ms", (hooks_.wallNow_() - job.submission_.acceptedAt_).count());
+    logPhase(job, phase);
     job.phase_ = phase;
     pendingPhases_.emplace_back(job.submission_.id_, phase);
     if (isFinalPhase(phase)) {
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -136,6 +136,7 @@
     [[nodiscard]] auto takeDirtyRecords() -> std::vector<KeyedRecord>;
     /// Fails a job and stops its runs.
     auto failJob(TrackedJob &job, const std::string &reason) -> void;
+    auto logPhase(const TrackedJob &job, JobPhase phase) const -> void;
     auto setPhase(TrackedJob &job, JobPhase phase) -> void;
     auto flush() -> void;
     /// Ends that may be acknowledged once all changed records are stored.
--- a/marjoramfold/dispatch/joborder.cpp
+++ b/marjoramfold/dispatch/joborder.cpp
@@ -36,12 +36,17 @@
     return criticalPath(plan, &occurrence, ratio);
 }
 
+auto objectiveOf(const JobPlan &plan, const QueueConfig &queue, double ratio) -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(criticalPath(plan, nullptr, ratio) * queue.stretch_) + queue.targetLatency_;
+}
+
 auto rankStep(const TrackedJob &job, std::uint32_t occurrence, std::uint32_t step, const QueueConfig &queue, double ratio, std::chrono::milliseconds wallNow)
     -> StepRank
 {
     const auto &plan = job.submission_.plan_;
     const auto since = referenceTime(job.submission_, occurrence);
-    const auto allowed = std::chrono::duration_cast<std::chrono::milliseconds>(criticalPath(plan, nullptr, ratio) * queue.stretch_) + queue.targetLatency_;
+    const auto allowed = objectiveOf(plan, queue, ratio);
     const auto expectedEnd = wallNow + remainingCriticalPath(plan, job.occurrences_[occurrence], ratio);
     const auto lateEnd = since + std::chrono::duration_cast<std::chrono::milliseconds>(allowed * UsefulLatenessFactor);
     int lateness = 2;
--- a/marjoramfold/dispatch/joborder.h
+++ b/marjoramfold/dispatch/joborder.h
@@ -37,6 +37,9 @@
 /// Length of the critical path over the unfinished steps, by expected run times.
 [[nodiscard]] auto remainingCriticalPath(const JobPlan &plan, const OccurrenceState &occurrence, double ratio) -> std::chrono::milliseconds;
 
+/// Time from the acceptance or due time in which a job has to end to meet its objective, by expected run times.
+[[nodiscard]] auto objectiveOf(const JobPlan &plan, const QueueConfig &queue, double ratio) -> std::chrono::milliseconds;
+
 /// Rank of a ready step at the given wall time. `ratio` is the measured run time of the queue's tasks relative to their estimates.
 [[nodiscard]] auto
 rankStep(const TrackedJob &job, std::uint32_t occurrence, std::uint32_t step, const QueueConfig &queue, double ratio, std::chrono::milliseconds wallNow)
