--- a/marjoramfold/fleet/operatorconfig.cpp
+++ b/marjoramfold/fleet/operatorconfig.cpp
@@ -34,6 +34,21 @@
     return version_;
 }
 
+auto OperatorConfig::queues() const -> const std::vector<QueueConfig> &
+{
+    return queues_;
+}
+
+auto OperatorConfig::pools() const -> const std::vector<PoolConfig> &
+{
+    return pools_;
+}
+
+auto OperatorConfig::teams() const -> const std::vector<TeamConfig> &
+{
+    return teams_;
+}
+
 auto OperatorConfig::findQueue(std::string_view host, std::string_view path) const -> const QueueConfig *
 {
     const auto found = queuesByHost_.find(std::string(host));
--- a/marjoramfold/fleet/operatorconfig.h
+++ b/marjoramfold/fleet/operatorconfig.h
@@ -59,6 +59,11 @@
     /// Version number set by the operators; 0 before the first version.
     [[nodiscard]] auto version() const -> std::uint64_t;
 
+    /// Queues, pools and teams in the order of the document.
+    [[nodiscard]] auto queues() const -> const std::vector<QueueConfig> &;
+    [[nodiscard]] auto pools() const -> const std::vector<PoolConfig> &;
+    [[nodiscard]] auto teams() const -> const std::vector<TeamConfig> &;
+
     /// Queue of a request: exact host and longest matching path prefix. Null when there is none.
     [[nodiscard]] auto findQueue(std::string_view host, std::string_view path) const -> const QueueConfig *;
 
