--- a/marjoramfold/node/operatorview.cpp
+++ b/marjoramfold/node/operatorview.cpp
@@ -1,11 +1,35 @@
 #include "marjoramfold/node/operatorview.h"
 
+#include "marjoramfold/fleet/configcheck.h"
 #include "marjoramfold/observability/logline.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Marjoramfold
 {
+namespace
+{
+/// Findings of a configuration that are logged one by one.
+constexpr std::size_t MaxLoggedFindings = 20;
+
+/// Logs what is wrong with a configuration. It stays in force, since it also adds and revokes API keys.
+auto logConfigFindings(const OperatorConfig &config) -> void
+{
+    const auto findings = checkConfig(config);
+    for (std::size_t i = 0; i < std::min(findings.size(), MaxLoggedFindings); ++i) {
+        LogLine(LogSeverity::Warning, "configuration_finding")
+            .with("version", config.version())
+            .with("kind", nameOf(findings[i].kind_))
+            .with("where", findings[i].entry_)
+            .with("reason", findings[i].message_);
+    }
+    if (findings.size() > MaxLoggedFindings) {
+        LogLine(LogSeverity::Warning, "configuration_findings_omitted").with("version", config.version()).with("count", findings.size() - MaxLoggedFindings);
+    }
+}
+} // namespace
+
 OperatorView::OperatorView(const PlatformBinding &binding, StreamFollower::Schedule schedule, std::function<void()> onChanged)
     : decode_(binding.decodeOperatorRecord_)
     , onChanged_(std::move(onChanged))
@@ -64,6 +88,7 @@
                     .with("before", config_.version())
                     .with("offset", stored.offset_);
                 config_ = std::move(published->config_);
+                logConfigFindings(config_);
             }
         } else if (const auto *zone = std::get_if<ZoneChanged>(&std::get<OperatorRecord>(record))) {
             LogLine(LogSeverity::Info, zone->evacuated_ ? "zone_taken_out" : "zone_taken_back").with("zone", zone->zone_).with("offset", stored.offset_);
