--- a/tools/marjoramctl/commands.cpp
+++ b/tools/marjoramctl/commands.cpp
@@ -21,7 +21,7 @@
 auto allCommands() -> std::vector<Command>
 {
     std::vector<Command> commands;
-    for (const auto &group : {rulesCommands(), jobCommands(), inspectCommands()}) {
+    for (const auto &group : {rulesCommands(), jobCommands(), inspectCommands(), accountCommands(), configCommands()}) {
         commands.insert(commands.end(), group.begin(), group.end());
     }
     return commands;
--- a/tools/marjoramctl/commands.h
+++ b/tools/marjoramctl/commands.h
@@ -21,6 +21,12 @@
     std::string id_;
     std::string author_;
     std::optional<std::uint64_t> baseVersion_;
+    /// Number of rows of each table in text output; 0 means all.
+    std::size_t top_ = 0;
+    /// File with the version to compare with; empty when there is none.
+    std::string against_;
+    /// Number of accelerators of the fleet.
+    std::optional<std::int64_t> accelerators_;
 };
 
 /// Arguments, output and connection of a running command.
@@ -36,7 +42,7 @@
 struct Command {
     /// Words that select the command, for example "rules", "check".
     std::vector<std::string> words_;
-    /// Names of the positional arguments.
+    /// Names of the positional arguments. The last one may be given several times when its name ends with "...".
     std::vector<std::string> arguments_;
     std::string summary_;
     /// Further help text; each line ends with a line break.
@@ -50,6 +56,8 @@
 [[nodiscard]] auto rulesCommands() -> std::vector<Command>;
 [[nodiscard]] auto jobCommands() -> std::vector<Command>;
 [[nodiscard]] auto inspectCommands() -> std::vector<Command>;
+[[nodiscard]] auto accountCommands() -> std::vector<Command>;
+[[nodiscard]] auto configCommands() -> std::vector<Command>;
 
 /// All subcommands, in the order in which the help lists them.
 [[nodiscard]] auto allCommands() -> std::vector<Command>;
