--- a/marjoramfold/dispatch/joborder.cpp
+++ b/marjoramfold/dispatch/joborder.cpp
@@ -27,11 +27,6 @@
     }
     return longest;
 }
-/// Time from its reference time in which a job meets its objective.
-auto allowedTime(const JobPlan &plan, const QueueConfig &queue, double ratio) -> std::chrono::milliseconds
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(criticalPath(plan, nullptr, ratio) * queue.stretch_) + queue.targetLatency_;
-}
 } // namespace
 
 auto expectedTime(const StepPlan &step, double ratio) -> std::chrono::milliseconds
@@ -44,12 +39,17 @@
     return criticalPath(plan, &occurrence, ratio);
 }
 
+auto objectiveOf(const JobPlan &plan, const QueueConfig &queue, double ratio) -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(criticalPath(plan, nullptr, ratio) * queue.stretch_) + queue.targetLatency_;
+}
+
 auto rankStep(const TrackedJob &job, std::uint32_t occurrence, std::uint32_t step, const QueueConfig &queue, double ratio, std::chrono::milliseconds wallNow)
     -> StepRank
 {
     const auto &plan = job.submission_.plan_;
     const auto since = referenceTime(job.submission_, occurrence);
-    const auto allowed = allowedTime(plan, queue, ratio);
+    const auto allowed = objectiveOf(plan, queue, ratio);
     const auto expectedEnd = wallNow + remainingCriticalPath(plan, job.occurrences_[occurrence], ratio);
     const auto lateEnd = since + std::chrono::duration_cast<std::chrono::milliseconds>(allowed * UsefulLatenessFactor);
     int lateness = 2;
@@ -68,7 +68,7 @@
 {
     const auto &plan = job.submission_.plan_;
     const auto since = referenceTime(job.submission_, 0);
-    const auto allowed = allowedTime(plan, queue, ratio);
+    const auto allowed = objectiveOf(plan, queue, ratio);
     const auto remaining = remainingCriticalPath(plan, job.occurrences_.front(), ratio);
     DelayTerms terms;
     // Running work is on average halfway; a stopped run starts again, in the worst case from its beginning, after it has waited for room.
