--- a/marjoramfold/dispatch/removalsearch.cpp
+++ b/marjoramfold/dispatch/removalsearch.cpp
@@ -228,7 +228,8 @@
         }
         return unit.endsSoon_ ? 0.0 : unit.loss_;
     };
-    const auto choice = cheapestAfterRemoval(request, local, victims, termsOf, nullptr);
+    // A fleet full of urgent work is not searched.
+    const auto choice = victims.mayMakeRoomFor(request.priority_) ? cheapestAfterRemoval(request, local, victims, termsOf, nullptr) : std::nullopt;
     if (!choice) {
         failed_.add(request, local, FailedRequests::Search::Preemption);
         return std::nullopt;
--- a/marjoramfold/dispatch/victimunits.cpp
+++ b/marjoramfold/dispatch/victimunits.cpp
@@ -115,6 +115,8 @@
     }
     for (auto &unit : units_) {
         assess(unit, hooks, now);
+        lowestPriority_ = std::max(lowestPriority_, anyMember(unit).run_->priority_);
+        hasEnding_ = hasEnding_ || unit.isEnding_;
     }
 }
 
@@ -162,9 +164,15 @@
     return members_[unit.firstMember_];
 }
 
+auto VictimUnits::mayMakeRoomFor(int priority) const -> bool
+{
+    return hasEnding_ || lowestPriority_ > priority;
+}
+
 auto VictimUnits::markStopped(std::size_t unit) -> void
 {
     units_[unit].isStopping_ = true;
     units_[unit].isEnding_ = true;
+    hasEnding_ = true;
 }
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/victimunits.h
+++ b/marjoramfold/dispatch/victimunits.h
@@ -72,6 +72,9 @@
     /// Any member of the unit. The members have priority, team, demand and gang size in common.
     [[nodiscard]] auto anyMember(const VictimUnit &unit) const -> const VictimMember &;
 
+    /// True when there are runs of lower priority, or runs that end in any case.
+    [[nodiscard]] auto mayMakeRoomFor(int priority) const -> bool;
+
     /// Counts a unit as being stopped, for the searches that follow in the pass.
     auto markStopped(std::size_t unit) -> void;
 
@@ -82,5 +85,7 @@
     std::vector<VictimUnit> units_;
     std::vector<VictimMember> members_;
     std::vector<std::vector<std::size_t>> unitsAt_;
+    int lowestPriority_ = 0;
+    bool hasEnding_ = false;
 };
 } // namespace Marjoramfold
