--- a/tests/unit/test_platformcodec.cpp
+++ b/tests/unit/test_platformcodec.cpp
@@ -266,7 +266,7 @@
             {"\"10.0.0.2:90\"", "\"10.0.0.2:99999\"", "store.address"},
             {"\"10.0.0.2:90\"", "\"10.0.0.2:-1\"", "store.address"},
             {"\"10.0.0.1:80\"", "\"10.0.0.1:0\"", "listen.callers"},
-            {"pack_racks = false", "pack_racks = 1", "scheduling.pack_racks"},
+            {"pack_racks = true", "pack_racks = 1", "scheduling.pack_racks"},
             {"reject_hopeless = false", "reject_hopeless = \"yes\"", "scheduling.reject_hopeless"},
             {"[scheduling]", "[[scheduling]]", "[scheduling]"},
         }));
