--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -26,8 +26,6 @@
 constexpr std::chrono::milliseconds WorkerListWait{1000};
 /// Interval of the search for jobs whose retention has expired.
 constexpr std::chrono::seconds ExpiryCheckInterval{20};
-/// Settings of a queue are stored again when the feed has not shown them after this time.
-constexpr std::chrono::seconds SettingsRepeatInterval{2};
 /// Time for which a queue must be missing before its settings are deleted; instances accept jobs by configurations that are some seconds old.
 constexpr std::chrono::seconds MinQueueAbsence{60};
 } // namespace
@@ -403,39 +401,6 @@
     }
 }
 
-auto LeaderRuntime::queuesWithJobs() const -> std::set<std::string>
-{
-    std::set<std::string> queues;
-    for (const auto &[id, job] : feed_.jobs()) {
-        queues.insert(job.submission_.queue_);
-    }
-    return queues;
-}
-
-auto LeaderRuntime::storeQueueSettings() -> void
-{
-    auto &settings = feed_.queueSettings();
-    settings.observe(context_.config_());
-    if (!begun_) {
-        return;
-    }
-    const auto now = BootClock::now();
-    if (now - settingsSentAt_ > SettingsRepeatInterval) {
-        sentSettings_.clear();
-    }
-    std::vector<KeyedRecord> changed;
-    for (auto &record : settings.changedRecords()) {
-        if (auto &sent = sentSettings_[record.key_]; sent != *record.value_ && storedBytes(record) <= MaxRecordBytes) {
-            sent = *record.value_;
-            changed.push_back(std::move(record));
-        }
-    }
-    if (!changed.empty()) {
-        settingsSentAt_ = now;
-        feedAppender_->writeInOrder(std::move(changed), {});
-    }
-}
-
 auto LeaderRuntime::guardedCalls() -> WorkerCalls
 {
     // The process may be suspended between a decision and its call, so leadership is checked again here. The store may still confirm the
