--- a/bench/passcost.cpp
+++ b/bench/passcost.cpp
@@ -271,9 +271,9 @@
     std::uint64_t stopped = 0;
     for (int i = 0; i < UrgentFleets; ++i) {
         Fleet fleet(workers, borrowed);
-        // Gangs wait for one rack by this clock.
-        BootClock::useSource([&fleet] {
-            return BootTime(std::chrono::hours(1) + fleet.now());
+        // Gangs wait for one rack by this clock. It must not fall behind the real one, which the scheduler has seen.
+        BootClock::useSource([&fleet, begin = BootClock::now()] {
+            return begin + fleet.now();
         });
         fleet.fillWithUrgentRuns();
         sum += fleet.measureMost();
