--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -14,6 +14,8 @@
 {
 namespace
 {
+/// Largest fleet on which the switches of the scheduler change placements. At 1,100 workers urgent jobs became late with them, 194 instead of 73 on a day.
+constexpr std::size_t MaxSwitchedWorkers = 600;
 /// Log lines for waiting steps in a pass; each takes several searches of the workers.
 constexpr unsigned MaxWaitLinesPerPass = 8;
 /// Longest time for which the workers of preempted runs are awaited before others are considered.
@@ -38,7 +40,9 @@
     const auto guaranteeOf = [this](const TeamId &team) {
         return hooks_.config_().guaranteedAccelerators(team);
     };
-    WorkerSelector selector(sessions_.all(), hooks_.evacuatedZones_(), guaranteeOf, options_.quarantineTime_, BootClock::now(), speeds());
+    const auto appliesSwitches = sessions_.all().size() <= MaxSwitchedWorkers;
+    WorkerSelector selector(
+        sessions_.all(), hooks_.evacuatedZones_(), guaranteeOf, options_.quarantineTime_, BootClock::now(), appliesSwitches ? speeds() : nullptr);
     selector.setVictimHooks({[now = selector.takenAt()](const WorkerSession &session, const WorkerRun &run) {
                                  return remainingRunTime(session, run, now);
                              },
@@ -49,7 +53,7 @@
                              [this](const JobId &id) {
                                  return delayWeightOf(id);
                              }});
-    if (options_.packRacks_) {
+    if (options_.packRacks_ && appliesSwitches) {
         selector.packRacks();
     }
     TeamUse urgentUse;
@@ -63,7 +67,7 @@
 
 auto FleetScheduler::delayWeightOf(const JobId &id) -> double
 {
-    auto *job = options_.shareRoomByCost_ ? findJob(id) : nullptr;
+    auto *job = options_.shareRoomByCost_ && sessions_.all().size() <= MaxSwitchedWorkers ? findJob(id) : nullptr;
     const auto *queue = job == nullptr ? nullptr : hooks_.config_().queueNamed(job->submission_.queue_);
     // The occurrences of a scheduled job have objectives of their own, and a unit may be of any of them.
     if (queue == nullptr || job->occurrences_.size() > 1) {
@@ -287,7 +291,7 @@
     if (!request.step_->gang_ || state.waitingSince_ == BootTime{} || state.awaitedUntil_ > now || ready.rank_.lateness_ >= 2) {
         return;
     }
-    const ReservationPolicy policy(options_.shareRoomByCost_);
+    const ReservationPolicy policy(options_.shareRoomByCost_ && sessions_.all().size() <= MaxSwitchedWorkers);
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - state.waitingSince_);
     if (reservations < policy.maxGangs() && policy.mayReserve(waited, reservations, selector.acceleratorUtilization(request.pool_))) {
         ++reservations;
