--- a/marjoramfold/entry/rulescontroller.cpp
+++ b/marjoramfold/entry/rulescontroller.cpp
@@ -1,5 +1,6 @@
 #include "marjoramfold/entry/rulescontroller.h"
 
+#include <fmt/format.h>
 #include <glog/logging.h>
 
 #include <utility>
@@ -71,7 +72,7 @@
 {
     std::string text;
     for (const auto &problem : problems) {
-        text += (text.empty() ? "" : "\n") + std::to_string(problem.line_) + ":" + std::to_string(problem.column_) + ": " + problem.message_;
+        text += fmt::format("{}{}:{}: {}", text.empty() ? "" : "\n", problem.line_, problem.column_, problem.message_);
     }
     return text;
 }
--- a/marjoramfold/node/lastqueuesettings.cpp
+++ b/marjoramfold/node/lastqueuesettings.cpp
@@ -9,6 +9,7 @@
 #include <openssl/sha.h>
 
 #include <array>
+#include <iterator>
 #include <utility>
 
 namespace Marjoramfold
@@ -46,7 +47,11 @@
     }
     std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
     SHA256(reinterpret_cast<const unsigned char *>(queue.data()), queue.size(), digest.data());
-    return fmt::format("{}sha256:{:02x}", prefix, fmt::join(digest, ""));
+    auto key = prefix + "sha256:";
+    for (const auto byte : digest) {
+        fmt::format_to(std::back_inserter(key), "{:02x}", byte);
+    }
+    return key;
 }
 
 auto encode(const QueueConfig &queue, std::uint64_t version) -> std::string
--- a/marjoramfold/rules/ruleline.cpp
+++ b/marjoramfold/rules/ruleline.cpp
@@ -1,5 +1,6 @@
 #include "marjoramfold/rules/ruleline.h"
 
+#include <fmt/format.h>
 #include <toml++/toml.h>
 
 #include <algorithm>
@@ -96,7 +97,7 @@
         } else if (const auto *string = node.as_string()) {
             syntax.fields_.push_back({std::string(key.str()), string->get(), column});
         } else {
-            errors.push_back({number, column, "'" + std::string(key.str()) + "' must be a whole number or a text"});
+            errors.push_back({number, column, fmt::format("'{}' must be a whole number or a text", key.str())});
         }
     }
     std::sort(syntax.fields_.begin(), syntax.fields_.end(), [](const RuleField &left, const RuleField &right) {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,10 +5,10 @@
 scripts/install-deps.sh
 scripts/check-format.sh
 scripts/check-layers.sh
-scripts/build.sh build
+scripts/build.sh build -DMARJORAMFOLD_WARNINGS_AS_ERRORS=ON
 scripts/lint.sh build
 # The platform builds the service alone and with optimization, which may raise other warnings.
-scripts/build.sh build-release -DMARJORAMFOLD_SERVICE_ONLY=ON -DCMAKE_BUILD_TYPE=Release
+scripts/build.sh build-release -DMARJORAMFOLD_WARNINGS_AS_ERRORS=ON -DMARJORAMFOLD_SERVICE_ONLY=ON -DCMAKE_BUILD_TYPE=Release
 # Tests listed in KNOWN-RED.txt fail because of a known open fault; they run separately, and their results are printed.
 exclude=$(grep -s '^test: ' KNOWN-RED.txt | sed 's/^test: //; s/[][().*+?^$|\\]/\\&/g' | paste -sd'|' - || true)
 if [ -n "$exclude" ]; then
