Ask for the first report of a run at once

Cause: until a report lists a run, an incarnation with another clock may have accepted it and granted the longest lease. The renewal that follows the answer to a start command waited up to 1 s for an end before it reported.

Change: a renewal of a worker with a running run that no report has listed does not wait. It is one more call for a start on a worker without runs.

Measured: the new test of test_workerleases fails without the change and passes with it.

--- a/marjoramfold/dispatch/workerrenewals.cpp
+++ b/marjoramfold/dispatch/workerrenewals.cpp
@@ -50,10 +50,11 @@
         session.leaseUntil_ = std::max(session.leaseUntil_, until);
         session.leaseRequestedAt_ = now;
     }
-    // The first report about an in-doubt run and the final acknowledgement must not wait for a run to end.
+    // The first report about a run and the final acknowledgement must not wait for a run to end: without a report the longest lease counts.
     const auto immediate = session.runs_.empty() || !session.responded_ || pollOnly || session.awaitsReport_ || session.lastEndSeen_ > session.lastEndRecorded_
         || std::any_of(session.runs_.begin(), session.runs_.end(), [](const auto &run) {
-                               return run.second.stage_ == RunStage::InDoubt;
+                               const auto &state = run.second;
+                               return state.stage_ == RunStage::InDoubt || (state.stage_ == RunStage::Running && !state.reported_ && !state.endMayFollow_);
                            });
     const auto wait = immediate ? std::chrono::milliseconds(0) : options_.renewalWait_;
     // The worker may have restarted if it accepted a run that it has not reported; end numbers mean other ends then.
--- a/tests/unit/test_workerleases.cpp
+++ b/tests/unit/test_workerleases.cpp
@@ -15,7 +15,7 @@
 const WorkerId Worker("w1");
 const TaskRef Task{JobId("00000000000000a1"), 0, 0, 0};
 
-/// Sessions with one worker whose responses are all lost, on a stepped clock.
+/// Sessions with one worker whose responses are lost unless it answers, on a stepped clock.
 class SilentWorker
 {
 public:
@@ -26,14 +26,19 @@
         });
         options_.maxLease_ = 10s;
         options_.requestedLease_ = 6s;
-        WorkerCalls calls{[this](const StartCommand & /*command*/, const std::function<void(CommandResponse)> &callback) {
-                              loseResponse(callback);
+        WorkerCalls calls{[this](const StartCommand &command, const std::function<void(CommandResponse)> &callback) {
+                              started_ = answers_ ? command.run_ : 0;
+                              respond(callback, 0ms, {CommandOutcome::Accepted, "", 0, now_, {}});
                           },
                           [this](const StopCommand & /*command*/, const std::function<void(CommandResponse)> &callback) {
                               loseResponse(callback);
                           },
-                          [this](const RenewCommand & /*command*/, const std::function<void(CommandResponse)> &callback) {
-                              loseResponse(callback);
+                          [this](const RenewCommand &command, const std::function<void(CommandResponse)> &callback) {
+                              WorkerReport report{1, now_ + command.wait_, {}, {}};
+                              if (started_ > 0) {
+                                  report.running_.push_back({Task, started_, "", 0});
+                              }
+                              respond(callback, command.wait_, {CommandOutcome::Accepted, "", 0, now_, report});
                           }};
         SessionEvents events;
         events.runEnded_ = [this](const RunEnded &end) {
@@ -41,6 +46,7 @@
             CHECK(end.kind_ == RunOutcome::LeaseExpired);
         };
         events.capacityChanged_ = [] {};
+        events.runStarted_ = [](const WorkerId & /*worker*/, const TaskRef & /*task*/, std::uint32_t /*run*/) {};
         sessions_ = std::make_unique<WorkerSessions>(options_, 1, calls, events, [this](std::chrono::milliseconds pause, std::function<void()> step) {
             steps_.emplace_back(now_ + pause, std::move(step));
         });
@@ -71,11 +77,40 @@
         }
     }
 
+    auto list() -> void
+    {
+        WorkerEntry entry;
+        entry.id_ = Worker;
+        entry.address_ = "address";
+        entry.incarnation_ = 1;
+        entry.clock_ = 100s;
+        sessions_->updateEntry(entry);
+    }
+
+    auto startRun() -> void
+    {
+        sessions_->place(Worker, Task, 1, {});
+        sessions_->start(Worker, Task, 1, "payload", {});
+    }
+
     DispatchOptions options_;
+    bool answers_ = false;
     std::unique_ptr<WorkerSessions> sessions_;
     std::vector<std::chrono::milliseconds> endedAt_;
 
 private:
+    /// Passes a response on after a delay, if the worker answers then.
+    auto respond(const std::function<void(CommandResponse)> &callback, std::chrono::milliseconds delay, CommandResponse response) -> void
+    {
+        steps_.emplace_back(now_ + delay, [this, callback, response = std::move(response)] {
+            if (answers_) {
+                callback(response);
+            } else {
+                loseResponse(callback);
+            }
+        });
+    }
+
     auto loseResponse(const std::function<void(CommandResponse)> &callback) -> void
     {
         steps_.emplace_back(now_ + options_.commandTimeout_, [callback] {
@@ -84,6 +119,8 @@
     }
 
     std::chrono::milliseconds now_{1'000'000};
+    /// Number of the run that the worker has started; 0 for none.
+    std::uint32_t started_ = 0;
     std::vector<std::pair<std::chrono::milliseconds, std::function<void()>>> steps_;
 };
 } // namespace
@@ -95,14 +132,8 @@
 
     SECTION("when its start command got no response")
     {
-        WorkerEntry entry;
-        entry.id_ = Worker;
-        entry.address_ = "address";
-        entry.incarnation_ = 1;
-        entry.clock_ = 100s;
-        worker.sessions_->updateEntry(entry);
-        worker.sessions_->place(Worker, Task, 1, {});
-        worker.sessions_->start(Worker, Task, 1, "payload", {});
+        worker.list();
+        worker.startRun();
     }
 
     SECTION("when a former leader sent it and resigned")
@@ -115,3 +146,18 @@
     worker.advance(2s);
     CHECK(worker.endedAt_.size() == 1);
 }
+
+TEST_CASE("a run whose worker is lost soon after its start waits for the requested lease only", "[dispatch]")
+{
+    // Guards against a first report that comes up to a second after the start, until which the longest lease counts.
+    SilentWorker worker;
+    worker.answers_ = true;
+    worker.list();
+    // A lease of a former leader has ended by then.
+    worker.advance(worker.options_.maxLease_);
+    worker.startRun();
+    worker.advance(400ms);
+    worker.answers_ = false;
+    worker.advance(worker.options_.requestedLease_ + 2s);
+    CHECK(worker.endedAt_.size() == 1);
+}
