State the leases of workers to the next leader

Cause: a successor knew only when the store last confirmed the former leader. For a worker that nobody reaches it assumed the longest lease, which only an incarnation with another clock grants, and renewals for 5 s without the store. Its own first renewal, and each further leader, began the wait anew.

Change: each renewal of the leadership states the silent workers with the rest of their leases, and up to which offset of the progress stream the workers have reported the runs. A silent worker gets no lease until the store has confirmed a statement without it, so a successor may rely on the rest. Leases are renewed for 2 s without the store, the last time just before that limit, so that they end 7.9 s after its last answer at the earliest; outages of the store take up to 6.7 s. A new leader requests no lease of a worker before its first answer. Versions without statements ignore them; for a leader of such a version the limits are those of before. runs_await_proof names the bound.

Why it works: the wait is now the requested lease after the last command that may have been sent, and it is a fact in the store, which no change of the leader extends.

--- a/marjoramfold/dispatch/dispatchoptions.h
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -15,8 +15,11 @@
     double maxClockDrift_ = 0.02;
     /// Added to computed lease ends to cover rounding and response latency.
     std::chrono::milliseconds leaseMargin_{200};
-    /// A leader whose leadership the store no longer confirms may renew leases for this long; its successor relies on the limit.
-    std::chrono::milliseconds maxRenewalWithoutStore_{5000};
+    /// A leader whose leadership the store no longer confirms stays in office for this long: it asks for reports and sends stops.
+    std::chrono::milliseconds maxTermWithoutStore_{5000};
+    /// Such a leader renews leases only for this long; its successor relies on the limit. With the requested lease it is above the store's
+    /// longest outages, 6.7 s.
+    std::chrono::milliseconds maxRenewalWithoutStore_{2000};
     /// Such a leader sends start commands, and renews the leases of workers with runs that they have not reported, only for this long: a worker
     /// that was restarted, whose clock the leader does not know, may grant the longest lease for them. Beyond the delay of a slow store.
     std::chrono::milliseconds maxStartWithoutStore_{1500};
--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -119,7 +119,7 @@
     endsOfUnknownJobs_.erase(id);
 }
 
-auto FleetScheduler::restoreProgress(const std::string &key, const std::string &value) -> void
+auto FleetScheduler::restoreProgress(const std::string &key, const std::string &value, std::uint64_t offset) -> void
 {
     if (key == WorkerSpeeds::RecordKey) {
         restoreSpeeds(value);
@@ -140,6 +140,9 @@
         return;
     }
     restored_.insert({parsed->job_, parsed->occurrence_});
+    for (auto part = parsed->part_; part <= std::max(parsed->part_, valueOf(lastPart)); ++part) {
+        restoredAt_[{parsed->job_, parsed->occurrence_, part}] = offset;
+    }
     // Versions that did not divide the progress stored all tasks in the first part, which the next change of that part replaces.
     for (auto part = parsed->part_ + 1; part <= valueOf(lastPart); ++part) {
         dirty_.insert({parsed->job_, parsed->occurrence_, part});
@@ -156,6 +159,17 @@
     sessions_.limitFormerCommands(former);
 }
 
+auto FleetScheduler::stateLeases(std::uint64_t progressKnown) -> LeaseStatement
+{
+    // Runs of a job that is not known yet are not among the sessions' runs.
+    return sessions_.stateLeases(progressOfUnknownJobs_.empty() ? progressKnown : 0);
+}
+
+auto FleetScheduler::onStatementConfirmed(const LeaseStatement &statement) -> void
+{
+    sessions_.onStatementConfirmed(statement);
+}
+
 auto FleetScheduler::startScheduling(const FormerCommands &former) -> void
 {
     adoptRestoredRuns();
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -94,7 +94,7 @@
 
     /// Restores a progress record that a previous leader stored; the record of an unknown job is kept until the job is added. Records
     /// must be restored in the order of their keys.
-    auto restoreProgress(const std::string &key, const std::string &value) -> void;
+    auto restoreProgress(const std::string &key, const std::string &value, std::uint64_t offset = UnknownOffset) -> void;
 
     /// Enables scheduling once all jobs and progress records are loaded.
     auto startScheduling(const FormerCommands &former) -> void;
@@ -105,6 +105,12 @@
     /// Applies a tighter limit of what former leaders may have sent.
     auto limitFormerCommands(const FormerCommands &former) -> void;
 
+    /// States the workers' leases for a successor, where all progress before an offset is known here. See WorkerSessions::stateLeases().
+    [[nodiscard]] auto stateLeases(std::uint64_t progressKnown) -> LeaseStatement;
+
+    /// The store has confirmed a statement.
+    auto onStatementConfirmed(const LeaseStatement &statement) -> void;
+
     /// Applies an entry of the platform's worker list.
     auto updateWorker(const WorkerEntry &entry) -> void;
     auto removeWorker(const WorkerId &id) -> void;
@@ -278,6 +284,8 @@
     std::set<ProgressKey> dirty_;
     /// Occurrences whose restored runs are not adopted yet.
     std::set<std::pair<JobId, std::uint32_t>> restored_;
+    /// Offsets of the records with their progress.
+    std::map<ProgressKey, std::uint64_t> restoredAt_;
     /// Runs that workers reported unexpectedly and that have not ended yet.
     std::set<std::tuple<TaskRef, std::uint32_t, WorkerId>> unexpectedRuns_;
     /// Restored progress records of jobs that are not known yet, as key and value.
--- a/marjoramfold/dispatch/inheritedjobs.cpp
+++ b/marjoramfold/dispatch/inheritedjobs.cpp
@@ -44,11 +44,14 @@
                 }
                 ++steps[step].active_;
                 ++job->active_;
-                const auto run = makeWorkerRun(*job, step, task.worker_, queue == nullptr ? UnknownPriority : queue->priority_, false);
+                auto run = makeWorkerRun(*job, step, task.worker_, queue == nullptr ? UnknownPriority : queue->priority_, false);
+                const auto recorded = restoredAt_.find({id, occurrence, progressPartOf(plan, step, index)});
+                run.recordedAt_ = recorded == restoredAt_.end() ? UnknownOffset : recorded->second;
                 sessions_.adoptRun(task.worker_, task.workerIncarnation_, {id, occurrence, step, index}, task.lastRun_, run);
             }
         }
     }
+    restoredAt_.clear();
 }
 
 auto FleetScheduler::closeEndedJobs() -> void
--- a/marjoramfold/dispatch/workerrenewals.cpp
+++ b/marjoramfold/dispatch/workerrenewals.cpp
@@ -8,6 +8,12 @@
 
 namespace Marjoramfold
 {
+namespace
+{
+/// Interval of reports from a worker that answers again, until the store has confirmed that it is no longer stated as silent.
+constexpr std::chrono::milliseconds StatementPollInterval{100};
+} // namespace
+
 // Lease renewals and the reports in their responses.
 
 auto WorkerSessions::needsRenewal(const WorkerSession &session) const -> bool
@@ -35,7 +41,7 @@
 
 auto WorkerSessions::renew(WorkerSession &session) -> void
 {
-    if (session.renewing_ || !alive_ || !former_ || !needsRenewal(session)) {
+    if (session.renewing_ || !alive_ || !inherited_.isKnown() || !needsRenewal(session)) {
         return;
     }
     session.renewing_ = true;
@@ -44,7 +50,9 @@
     // lease, and the numbers of ends and the clock of another incarnation differ. Unknown runs of a former leader get no longer lease.
     const auto failing = session.unreachableSince_ != BootTime{};
     const auto hasOnlyUnknownRuns = session.awaitsReport_ && session.runs_.empty();
-    const auto pollOnly = failing || session.announced_ || hasOnlyUnknownRuns;
+    // Until the first answer this leader has extended no lease, so that the wait for a worker that is lost does not begin anew with each leader.
+    const auto isUnanswered = session.adopted_ && !session.responded_;
+    const auto pollOnly = failing || session.announced_ || hasOnlyUnknownRuns || isUnanswered || session.statedSilent_;
     const auto until = pollOnly ? std::chrono::milliseconds(0) : nextLeaseEnd(session, now);
     if (!pollOnly) {
         session.leaseUntil_ = std::max(session.leaseUntil_, until);
@@ -56,7 +64,8 @@
                                const auto &state = run.second;
                                return state.stage_ == RunStage::InDoubt || (state.stage_ == RunStage::Running && !state.reported_ && !state.endMayFollow_);
                            });
-    const auto wait = immediate ? std::chrono::milliseconds(0) : options_.renewalWait_;
+    const auto awaitsStatement = session.statedSilent_ && session.responded_ && !failing;
+    const auto wait = awaitsStatement ? StatementPollInterval : immediate ? std::chrono::milliseconds(0) : options_.renewalWait_;
     // The worker may have restarted if it accepted a run that it has not reported; end numbers mean other ends then.
     const auto hasUnreportedRun = std::any_of(session.runs_.begin(), session.runs_.end(), [](const auto &run) {
         const auto &state = run.second;
@@ -76,7 +85,7 @@
 
 auto WorkerSessions::queueRenewal(WorkerSession &session) -> void
 {
-    if (session.renewing_ || session.renewalQueued_ || !alive_ || !former_ || !needsRenewal(session)) {
+    if (session.renewing_ || session.renewalQueued_ || !alive_ || !inherited_.isKnown() || !needsRenewal(session)) {
         return;
     }
     session.renewalQueued_ = true;
@@ -165,8 +174,10 @@
 {
     session.reportClock_ = report.clock_;
     if (session.awaitsReport_) {
-        // Commands of a previous leader, or for the clock of another incarnation, may have granted the longest lease.
-        session.leaseUntil_ = std::max(session.leaseUntil_, report.clock_ + options_.maxLease_);
+        // Commands of a previous leader, or for the clock of another incarnation, may have granted a longer lease.
+        if (inherited_.mayExist() || session.leaseUntil_.count() > 0) {
+            session.leaseUntil_ = std::max(session.leaseUntil_, report.clock_ + longestUnknownGrant(session));
+        }
         session.awaitsReport_ = false;
         events_.capacityChanged_();
     }
@@ -194,7 +205,12 @@
     for (const auto &key : missing) {
         auto &run = session.runs_[key];
         const auto neverStarted = run.acceptedAt_ == BootTime{};
-        if (neverStarted && run.stage_ == RunStage::InDoubt && run.startCommands_ < options_.maxStartCommands_) {
+        const auto mayStart = neverStarted && run.stage_ == RunStage::InDoubt && run.startCommands_ < options_.maxStartCommands_;
+        if (mayStart && session.statedSilent_) {
+            // A later report decides, when the worker may get a lease again.
+            continue;
+        }
+        if (mayStart) {
             // The former command is fenced, but another incarnation of the worker would not know the fence. While the run stays on this
             // worker, that incarnation can only start the run that it is expected to start.
             run.stage_ = RunStage::Recorded;
@@ -205,6 +221,15 @@
     }
 }
 
+auto WorkerSessions::longestUnknownGrant(const WorkerSession &session) const -> std::chrono::milliseconds
+{
+    auto longest = session.adopted_ && !session.runs_.empty() ? std::chrono::milliseconds(0) : options_.maxLease_;
+    for (const auto &[key, run] : session.runs_) {
+        longest = std::max(longest, inherited_.longestGrant(session.entry_.id_, run));
+    }
+    return longest;
+}
+
 auto WorkerSessions::onReportedRun(WorkerSession &session, const ReportedRun &reported) -> void
 {
     const auto found = session.runs_.find({reported.task_, reported.run_});
--- a/marjoramfold/dispatch/workersession.h
+++ b/marjoramfold/dispatch/workersession.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,6 +34,9 @@
 /// A task and the number of its run.
 using RunKey = std::pair<TaskRef, std::uint32_t>;
 
+/// Offset of a progress record that is not known; above all others.
+constexpr auto UnknownOffset = std::numeric_limits<std::uint64_t>::max();
+
 /// A run that occupies capacity of a worker.
 struct WorkerRun {
     RunStage stage_ = RunStage::Recorded;
@@ -59,6 +63,8 @@
     bool startTimeKnown_ = false;
     /// A report of the session's worker incarnation contained the run; the response to a start command does not name its incarnation.
     bool reported_ = false;
+    /// Offset of the progress record from which a run of a former leader was restored.
+    std::uint64_t recordedAt_ = UnknownOffset;
     /// The newest report lacks the run and had no room for all ends, so that its end may follow once those in the report are acknowledged.
     bool endMayFollow_ = false;
     BootTime progressAt_{};
@@ -103,6 +109,8 @@
     bool awaitsReport_ = false;
     /// A previous leader sent commands to this incarnation of the worker.
     bool adopted_ = false;
+    /// The leader has stated the worker as silent, so that it gets neither a lease nor a start command. See LeaseStatement.
+    bool statedSilent_ = false;
     bool renewing_ = false;
     /// A renewal waits in the sessions' PacedQueue.
     bool renewalQueued_ = false;
@@ -140,7 +148,7 @@
     [[nodiscard]] auto isCurrent() const -> bool
     {
         const auto describesIncarnation = entry_.incarnation_ == 0 || entry_.incarnation_ == incarnation_;
-        return listed_ && describesIncarnation && !awaitsReport_ && !announced_;
+        return listed_ && describesIncarnation && !awaitsReport_ && !announced_ && !statedSilent_;
     }
 
     /// Capacity that is not used by runs.
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -44,6 +44,7 @@
     , events_(std::move(events))
     , schedule_(std::move(schedule))
     , commands_(schedule_, options_.commandsPerTurn_, workMeter)
+    , inherited_(options)
     , alive_(std::make_shared<bool>(true))
 {
 }
@@ -63,12 +64,12 @@
 
 auto WorkerSessions::limitFormerCommands(const FormerCommands &former) -> void
 {
-    former_ = former;
+    inherited_.setFormerCommands(former);
 }
 
 auto WorkerSessions::startRenewals(const FormerCommands &former) -> void
 {
-    former_ = former;
+    inherited_.setFormerCommands(former);
     for (const auto &[id, session] : sessions_) {
         queueRenewal(*session);
     }
@@ -394,18 +395,8 @@
         return std::nullopt;
     }
     if (!session.responded_ && session.adopted_) {
-        if (!former_) {
-            return std::nullopt;
-        }
-        // This leader's renewals may have extended the lease although their responses were lost. They, and the former leader's start commands and
-        // renewals for unreported runs, may have met another incarnation, which shortens a lease for another clock only to the longest one.
-        const auto longest = std::max(former_->unreportedUntil_, session.leaseRequestedAt_) + stretched(options_.maxLease_);
-        // Later renewals of the former leader concern runs that its worker had reported, so they grant no more than was requested. The worker's
-        // clock may have fallen behind the estimate since the worker's last answer.
-        const auto silence = options_.maxRenewalWithoutStore_;
-        const auto requested = std::min(options_.requestedLease_, options_.maxLease_);
-        const auto ordered = former_->reportedUntil_ + std::min(stretched(requested + silence) - silence, stretched(options_.maxLease_));
-        return std::max(longest, ordered) + options_.commandTimeout_ + options_.leaseMargin_;
+        // This leader requests no lease before the worker has answered.
+        return inherited_.endOf(session.entry_.id_, run);
     }
     const auto longest = std::max(session.clockAt_, session.leaseRequestedAt_ + options_.commandTimeout_) + stretched(options_.maxLease_);
     if (run.stage_ != RunStage::Recorded && !run.reported_) {
@@ -451,6 +442,7 @@
         .with("stage", toString(run.stage_))
         .with("proof", latest ? "report_or_lease_end" : "report")
         .with("lease_ends_in_ms", latest ? milliseconds(*latest - now).count() : -1)
+        .with("lease_bound", session.adopted_ && !session.responded_ ? toString(inherited_.boundOf(session.entry_.id_, run)) : "granted")
         .with("silent_ms", milliseconds(now - session.unreachableSince_).count())
         .with("adopted", session.adopted_);
     return true;
--- a/marjoramfold/dispatch/workersessions.h
+++ b/marjoramfold/dispatch/workersessions.h
@@ -2,6 +2,8 @@
 
 #include "marjoramfold/core/clock.h"
 #include "marjoramfold/dispatch/dispatchoptions.h"
+#include "marjoramfold/dispatch/inheritedleases.h"
+#include "marjoramfold/dispatch/leasestatement.h"
 #include "marjoramfold/dispatch/pacedqueue.h"
 #include "marjoramfold/dispatch/workersession.h"
 #include "marjoramfold/fleet/workerentry.h"
@@ -26,14 +28,6 @@
     std::function<void(RenewCommand, std::function<void(CommandResponse)>)> renew_;
 };
 
-/// Until when former leaders may have sent commands to workers.
-struct FormerCommands {
-    /// Renewals of leases for runs that their workers had reported.
-    BootTime reportedUntil_{};
-    /// Start commands, and renewals for runs that their workers had not reported.
-    BootTime unreportedUntil_{};
-};
-
 /// Reports that a run ended or was never started.
 struct RunEnded {
     WorkerId worker_;
@@ -107,6 +101,13 @@
     /// Applies a tighter limit of what former leaders may have sent.
     auto limitFormerCommands(const FormerCommands &former) -> void;
 
+    /// States the leases for a successor, where all runs recorded before an offset of the progress stream are known here. From now on the
+    /// silent workers in it get no lease.
+    [[nodiscard]] auto stateLeases(std::uint64_t recordedBefore) -> LeaseStatement;
+
+    /// The store has confirmed a statement: silent workers that it no longer names may get leases again.
+    auto onStatementConfirmed(const LeaseStatement &statement) -> void;
+
     /// Adopts a run that a previous leader stored for a worker incarnation; its state is queried from the worker.
     auto adoptRun(const WorkerId &worker, std::uint64_t incarnation, const TaskRef &task, std::uint32_t run, WorkerRun state) -> void;
 
@@ -148,6 +149,8 @@
     auto nextToken() -> std::uint64_t;
     auto nextLeaseEnd(const WorkerSession &session, BootTime now) const -> std::chrono::milliseconds;
     [[nodiscard]] auto leaseEnd(const WorkerSession &session, const WorkerRun &run) const -> std::optional<BootTime>;
+    /// For how long the lease of a silent worker with runs may last; empty for other workers, and while a start command may request a lease.
+    [[nodiscard]] auto silentLeaseLeft(const WorkerSession &session, BootTime now) const -> std::optional<std::chrono::milliseconds>;
     /// Logs what the runs of a silent worker wait for; false when nothing is due.
     auto logAwaitedProof(WorkerSession &session, BootTime now) const -> bool;
     auto updateClock(WorkerSession &session, std::chrono::milliseconds clock) -> void;
@@ -160,6 +163,8 @@
     auto needsRenewal(const WorkerSession &session) const -> bool;
     auto onRenewResponse(const WorkerId &id, std::uint64_t incarnation, BootTime sentAt, const RenewCommand &command, const CommandResponse &response) -> void;
     auto onReport(WorkerSession &session, BootTime sentAt, std::uint64_t token, const WorkerReport &report) -> void;
+    /// Longest lease that a worker may have from commands which this leader did not send, or sent for another incarnation's clock.
+    [[nodiscard]] auto longestUnknownGrant(const WorkerSession &session) const -> std::chrono::milliseconds;
     auto onReportedRun(WorkerSession &session, const ReportedRun &reported) -> void;
     auto onReportedEnds(WorkerSession &session, const WorkerReport &report) -> void;
     auto onRenewFailure(WorkerSession &session, const CommandResponse &response) -> void;
@@ -183,8 +188,7 @@
     SessionEvents events_;
     Schedule schedule_;
     PacedQueue commands_;
-    /// Empty until startRenewals() is called.
-    std::optional<FormerCommands> former_;
+    InheritedLeases inherited_;
     WorkerSessionMap sessions_;
     /// Expires on shutdown, so that late callbacks do nothing.
     std::shared_ptr<bool> alive_;
--- a/marjoramfold/node/jobfeed.cpp
+++ b/marjoramfold/node/jobfeed.cpp
@@ -5,7 +5,9 @@
 #include "marjoramfold/observability/logline.h"
 #include "marjoramfold/store/recordcodec.h"
 
+#include <cereal/types/chrono.hpp>
 #include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
 
 #include <algorithm>
 #include <string_view>
@@ -26,16 +28,26 @@
 
 auto decodeLeadership(const std::string &value) -> std::optional<LeadershipRecord>
 {
-    auto record = decodeRecordValue<LeadershipRecord>(value);
-    if (!isOk(record)) {
-        LogLine(LogSeverity::Error, "leadership_record_unreadable").with("reason", errorOf(record).message_);
+    std::string rest;
+    auto decoded = decodeRecordValue<LeadershipRecord>(value, &rest);
+    if (!isOk(decoded)) {
+        LogLine(LogSeverity::Error, "leadership_record_unreadable").with("reason", errorOf(decoded).message_);
         return std::nullopt;
     }
-    if (valueOf(record).action_ > LeadershipAction::Resign) {
+    auto record = valueOf(std::move(decoded));
+    if (record.action_ > LeadershipAction::Resign) {
         LogLine(LogSeverity::Error, "leadership_record_unreadable").with("reason", "the action is unknown");
         return std::nullopt;
     }
-    return valueOf(std::move(record));
+    if (!rest.empty()) {
+        auto statement = decodeRecordValue<LeaseStatement>(rest);
+        if (isOk(statement)) {
+            record.statement_ = std::make_shared<const LeaseStatement>(valueOf(std::move(statement)));
+        } else {
+            LogLine(LogSeverity::Error, "lease_statement_unreadable").with("reason", errorOf(statement).message_);
+        }
+    }
+    return record;
 }
 
 auto decodePhase(const std::string &value) -> std::optional<JobPhase>
@@ -46,6 +58,15 @@
     return static_cast<JobPhase>(value.front());
 }
 
+/// Takes the statement of a leader's record, if it has one, into the view of that leader.
+auto applyStatement(const LeadershipRecord &record, BootTime now, LeaderView &leader) -> void
+{
+    if (record.statement_) {
+        leader.statement_ = record.statement_;
+        leader.statedAt_ = now;
+    }
+}
+
 auto prefixedKey(std::string_view prefix, const std::string &id) -> std::string
 {
     return std::string(prefix) + id;
@@ -285,6 +306,7 @@
         } else if (record->epoch_ == predecessor_.epoch_) {
             // The store still confirmed the former leader after the claim that succeeded it.
             predecessor_.lastRecordAt_ = now;
+            applyStatement(*record, now, predecessor_);
         }
         if (record->epoch_ >= leader_.epoch_) {
             const auto resigned = record->action_ == LeadershipAction::Resign;
@@ -292,13 +314,24 @@
             if (!firstRenewalAt && !resigned) {
                 firstRenewalAt = now;
             }
-            leader_ = {record->epoch_, record->instance_, record->process_, resigned, now, firstRenewalAt};
+            const auto isSame = record->epoch_ == leader_.epoch_;
+            auto statement = isSame ? leader_.statement_ : nullptr;
+            leader_ = {record->epoch_,
+                       record->instance_,
+                       record->process_,
+                       resigned,
+                       isSame && leader_.isFirst_,
+                       now,
+                       firstRenewalAt,
+                       std::move(statement),
+                       leader_.statedAt_};
+            applyStatement(*record, now, leader_);
         }
         return;
     }
     if (record->epoch_ == leader_.epoch_ && offset >= leader_.epoch_) {
         predecessor_ = leader_;
-        leader_ = {offset + 1, record->instance_, record->process_, false, now, std::nullopt};
+        leader_ = {offset + 1, record->instance_, record->process_, false, record->epoch_ == 0, now, std::nullopt, nullptr, {}};
     }
 }
 
@@ -398,7 +431,7 @@
     const auto key = record.action_ == LeadershipAction::Claim
         ? prefixedKey(ClaimPrefix, record.instance_ + "/" + std::to_string(record.process_) + "/" + std::to_string(record.number_))
         : prefixedKey(LeaderPrefix, record.instance_);
-    return {key, encodeRecordValue(record)};
+    return {key, encodeRecordValue(record) + (record.statement_ ? encodeRecordValue(*record.statement_) : std::string())};
 }
 
 auto JobFeed::backlogRecord(const BacklogRecord &record) -> KeyedRecord
--- a/marjoramfold/node/jobfeed.h
+++ b/marjoramfold/node/jobfeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marjoramfold/core/clock.h"
+#include "marjoramfold/dispatch/leasestatement.h"
 #include "marjoramfold/fleet/jobplan.h"
 #include "marjoramfold/node/lastqueuesettings.h"
 #include "marjoramfold/store/streamstore.h"
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -58,7 +60,10 @@
     /// Sequence number of a claim within its process. Each claim has its own key, so that a load returns all claims that may be valid.
     std::uint64_t number_ = 0;
 
-    /// Serializes the record with cereal.
+    /// With a renewal, what the leader states of its leases. Follows the other fields, where versions without statements ignore it.
+    std::shared_ptr<const LeaseStatement> statement_ = nullptr;
+
+    /// Serializes the fields that all versions know with cereal.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
@@ -73,10 +78,15 @@
     std::string instance_;
     std::uint64_t process_ = 0;
     bool resigned_ = false;
+    /// No leader came before.
+    bool isFirst_ = false;
     /// Time at which the leader's newest record was applied here.
     BootTime lastRecordAt_{};
     /// Time at which the leader's first renewal was applied here; the store has confirmed no earlier leader since.
     std::optional<BootTime> firstRenewalAt_;
+    /// The leader's newest statement, and when it was applied here; null for a version without statements.
+    std::shared_ptr<const LeaseStatement> statement_ = nullptr;
+    BootTime statedAt_{};
 };
 
 /// Callbacks of a JobFeed.
--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -16,6 +16,8 @@
 /// Interval of the leader's renewal records.
 constexpr std::chrono::milliseconds RenewInterval{250};
 constexpr std::chrono::milliseconds TickInterval{100};
+/// Time before the limit at which the last renewal of a lease without the store is sent.
+constexpr std::chrono::milliseconds LastRenewalLead{100};
 /// Timeout of the first request for a page of progress records; it doubles with each failure, as a busy store answers more slowly.
 constexpr std::chrono::milliseconds LoadTimeout{900};
 constexpr std::chrono::milliseconds MaxLoadTimeout{7200};
@@ -217,7 +219,7 @@
     }
     for (const auto &record : progress_) {
         if (record.record_.value_) {
-            scheduler_->restoreProgress(record.record_.key_, *record.record_.value_);
+            scheduler_->restoreProgress(record.record_.key_, *record.record_.value_, record.offset_);
         }
     }
     LogLine(LogSeverity::Info, "leadership_begun")
@@ -228,6 +230,7 @@
         .with("workers", scheduler_->sessions().all().size())
         .with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - startedAt_).count());
     progress_.clear();
+    progressKnown_ = progressEnd_;
     feed_.queueSettings().addMissing(queuesWithJobs(), context_.config_());
     storeQueueSettings();
     if (auto claims = feed_.claimTombstones(epoch_); !claims.empty()) {
@@ -244,20 +247,31 @@
     // A former leader stops sending leases when it resigns, or some time after the store last confirmed its leadership. The leaders before one
     // that resigned may still be within that time.
     const auto &options = context_.dispatch_;
-    const auto within = [&options](BootTime confirmed) {
-        return FormerCommands{confirmed + options.maxRenewalWithoutStore_, confirmed + options.maxStartWithoutStore_};
-    };
     const auto &predecessor = feed_.predecessor();
-    if (predecessor.resigned_ && predecessor.firstRenewalAt_) {
-        const auto before = within(*predecessor.firstRenewalAt_);
-        return {std::max(predecessor.lastRecordAt_, before.reportedUntil_), std::max(predecessor.lastRecordAt_, before.unreportedUntil_)};
+    const auto &leader = feed_.leader();
+    if (leader.epoch_ == epoch_ && leader.isFirst_) {
+        FormerCommands none;
+        none.exist_ = false;
+        return none;
     }
+    const auto within = [&options, &predecessor](BootTime confirmed) {
+        // Versions without statements renew leases for as long as they are in office.
+        const auto renewal = predecessor.statement_ ? options.maxRenewalWithoutStore_ : options.maxTermWithoutStore_;
+        return FormerCommands{confirmed + renewal, confirmed + options.maxStartWithoutStore_, predecessor.statement_, std::nullopt, true};
+    };
     // The store confirms no record of a former leader behind this leader's first renewal, so the feed has shown the last one.
-    const auto &leader = feed_.leader();
-    if (leader.epoch_ == epoch_ && leader.firstRenewalAt_ && predecessor.firstRenewalAt_) {
-        return within(std::min(predecessor.lastRecordAt_, *othersFencedAt_));
+    const auto hasLastRecord = leader.epoch_ == epoch_ && leader.firstRenewalAt_ && predecessor.firstRenewalAt_;
+    const auto statedAt = predecessor.statement_ && (hasLastRecord || predecessor.resigned_) ? std::optional(predecessor.statedAt_) : std::nullopt;
+    if (predecessor.resigned_ && predecessor.firstRenewalAt_) {
+        auto former = within(*predecessor.firstRenewalAt_);
+        former.reportedUntil_ = std::max(predecessor.lastRecordAt_, former.reportedUntil_);
+        former.unreportedUntil_ = std::max(predecessor.lastRecordAt_, former.unreportedUntil_);
+        former.statedAt_ = statedAt;
+        return former;
     }
-    return within(*othersFencedAt_);
+    auto former = within(hasLastRecord ? std::min(predecessor.lastRecordAt_, *othersFencedAt_) : *othersFencedAt_);
+    former.statedAt_ = statedAt;
+    return former;
 }
 
 auto LeaderRuntime::onSubmitted(const Submission &submission) -> void
@@ -301,8 +315,9 @@
     if (!renewing_) {
         renewing_ = true;
         const auto sentAt = BootClock::now();
-        feedAppender_->writeAhead({JobFeed::leadershipRecord({LeadershipAction::Renew, epoch_, context_.instance_, context_.process_, 0})},
-                                  [weak, sentAt](const WriteResult &result) {
+        auto statement = std::make_shared<const LeaseStatement>(scheduler_->stateLeases(begun_ ? progressKnown_ : 0));
+        feedAppender_->writeAhead({JobFeed::leadershipRecord({LeadershipAction::Renew, epoch_, context_.instance_, context_.process_, 0, statement})},
+                                  [weak, sentAt, statement](const WriteResult &result) {
                                       const auto self = weak.lock();
                                       if (!self || self->stopped_) {
                                           return;
@@ -312,6 +327,7 @@
                                           self->context_.fenced_();
                                       } else {
                                           self->confirmedAt_ = sentAt;
+                                          self->scheduler_->onStatementConfirmed(*statement);
                                       }
                                   });
     }
@@ -329,7 +345,7 @@
 
 auto LeaderRuntime::confirmedRecently() const -> bool
 {
-    return confirmedWithin(context_.dispatch_.maxRenewalWithoutStore_);
+    return confirmedWithin(context_.dispatch_.maxTermWithoutStore_);
 }
 
 auto LeaderRuntime::tick() -> void
@@ -426,15 +442,26 @@
     };
     const auto &options = context_.dispatch_;
     const auto renew = [weak = weak_from_this(), call = calls.renew_](RenewCommand command, std::function<void(CommandResponse)> callback) {
-        const auto self = weak.lock();
-        if (self && command.hasUnreportedRuns_ && !self->confirmedWithin(self->context_.dispatch_.maxStartWithoutStore_)) {
-            // The report is asked for, and the lease stays as it is.
-            command.leaseUntil_ = std::chrono::milliseconds(0);
+        if (const auto self = weak.lock(); self) {
+            self->limitRenewal(command);
         }
         call(std::move(command), std::move(callback));
     };
-    return {
-        guard(calls.start_, options.maxStartWithoutStore_), guard(calls.stop_, options.maxRenewalWithoutStore_), guard(renew, options.maxRenewalWithoutStore_)};
+    return {guard(calls.start_, options.maxStartWithoutStore_), guard(calls.stop_, options.maxTermWithoutStore_), guard(renew, options.maxTermWithoutStore_)};
+}
+
+auto LeaderRuntime::limitRenewal(RenewCommand &command) const -> void
+{
+    const auto &options = context_.dispatch_;
+    const auto limit = command.hasUnreportedRuns_ ? options.maxStartWithoutStore_ : options.maxRenewalWithoutStore_;
+    const auto left = limit - std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - confirmedAt_);
+    if (left <= std::chrono::milliseconds(0)) {
+        // The report is asked for, and the lease stays as it is.
+        command.leaseUntil_ = std::chrono::milliseconds(0);
+    } else if (left > 2 * LastRenewalLead) {
+        // The next renewal follows the response, and the last one before the limit has to come just before it.
+        command.wait_ = std::min(command.wait_, left - LastRenewalLead);
+    }
 }
 
 auto LeaderRuntime::schedulerHooks() -> SchedulerHooks
@@ -444,9 +471,12 @@
     hooks.storeProgress_ = [weak](std::vector<KeyedRecord> records, std::function<void(bool)> callback) {
         if (const auto self = weak.lock(); self) {
             const auto count = records.size();
-            self->progressAppender_->writeInOrder(std::move(records), [callback = std::move(callback), count](const WriteResult &result) {
+            self->progressAppender_->writeInOrder(std::move(records), [weak, callback = std::move(callback), count](const WriteResult &result) {
                 // Ends are acknowledged from here on: a later leader must have loaded the stream up to a higher offset.
                 if (const auto *stored = std::get_if<WriteStored>(&result); stored != nullptr) {
+                    if (const auto runtime = weak.lock(); runtime) {
+                        runtime->progressKnown_ = std::max(runtime->progressKnown_, stored->end_);
+                    }
                     LogLine(LogSeverity::Info, "progress_stored").with("offset", stored->offset_).with("records", count);
                 }
                 callback(std::holds_alternative<WriteStored>(result));
--- a/marjoramfold/node/leaderruntime.h
+++ b/marjoramfold/node/leaderruntime.h
@@ -80,6 +80,8 @@
     [[nodiscard]] auto confirmedWithin(std::chrono::milliseconds time) const -> bool;
     [[nodiscard]] auto confirmedRecently() const -> bool;
     [[nodiscard]] auto guardedCalls() -> WorkerCalls;
+    /// Requests no lease when the store has not confirmed the leadership recently, and else ends the renewal's wait in time for the next one.
+    auto limitRenewal(RenewCommand &command) const -> void;
     [[nodiscard]] auto appenderFor(const StreamId &stream) -> std::shared_ptr<OrderedAppender>;
     [[nodiscard]] auto schedulerHooks() -> SchedulerHooks;
 
@@ -95,6 +97,8 @@
     std::vector<StoredRecord> progress_;
     /// End of the progress stream when its load began; all earlier records are known.
     std::uint64_t progressEnd_ = 0;
+    /// Offset of the progress stream before which all records are known to the scheduler.
+    std::uint64_t progressKnown_ = 0;
     std::unordered_map<WorkerId, bool> listed_;
     /// Workers whose newest entry cannot be read.
     std::unordered_set<WorkerId> unreadable_;
--- a/marjoramfold/store/orderedappender.cpp
+++ b/marjoramfold/store/orderedappender.cpp
@@ -3,6 +3,7 @@
 #include "marjoramfold/observability/logline.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace Marjoramfold
@@ -143,7 +144,10 @@
 {
     if (const auto *appended = std::get_if<Appended>(&result)) {
         freshConnection_ = false;
-        finish(WriteStored{appended->offset_});
+        const auto records = std::accumulate(batch_.begin(), batch_.end(), std::uint64_t(0), [](std::uint64_t sum, const Pending &pending) {
+            return sum + pending.records_.size();
+        });
+        finish(WriteStored{appended->offset_, appended->offset_ + records});
     } else if (std::holds_alternative<AppendFenced>(result)) {
         finish(WriteFenced{});
     } else if (const auto *outOfSequence = std::get_if<AppendOutOfSequence>(&result)) {
--- a/marjoramfold/store/orderedappender.h
+++ b/marjoramfold/store/orderedappender.h
@@ -17,6 +17,8 @@
 /// The records of a write are stored.
 struct WriteStored {
     std::uint64_t offset_ = 0;
+    /// Offset behind the append that contains them; 0 if the store no longer told it.
+    std::uint64_t end_ = 0;
 };
 
 /// The records are not stored and will not be.
--- a/marjoramfold/store/recordcodec.h
+++ b/marjoramfold/store/recordcodec.h
@@ -21,15 +21,19 @@
     return std::move(stream).str();
 }
 
-/// Decodes a record value written by encodeRecordValue(). Error: Malformed, for example for a truncated value, on which cereal throws.
+/// Decodes a record value written by encodeRecordValue(), and returns what follows it in `rest` unless that is null. Error: Malformed, for
+/// example for a truncated value, on which cereal throws.
 template<typename Value>
-[[nodiscard]] auto decodeRecordValue(const std::string &text) -> Result<Value>
+[[nodiscard]] auto decodeRecordValue(const std::string &text, std::string *rest = nullptr) -> Result<Value>
 {
     try {
         std::istringstream stream(text);
         cereal::PortableBinaryInputArchive archive(stream);
         Value value;
         archive(value);
+        if (rest != nullptr) {
+            *rest = text.substr(static_cast<std::size_t>(stream.tellg()));
+        }
         return value;
     } catch (const std::exception &exception) {
         return Error{ErrorKind::Malformed, exception.what(), std::nullopt};
--- a/tests/support/runordermodel.cpp
+++ b/tests/support/runordermodel.cpp
@@ -158,16 +158,31 @@
     }
     leader->scheduler_->addJob(submission_, phase_);
     for (const auto &[key, value] : progress_) {
-        leader->scheduler_->restoreProgress(key, value);
+        leader->scheduler_->restoreProgress(key, value, progressOffsets_.at(key));
     }
-    leader->scheduler_->startScheduling(BootTime(previousRenewalsUntil));
+    const BootTime formerUntil(previousRenewalsUntil);
+    leader->scheduler_->startScheduling({formerUntil, formerUntil, statement_, BootTime(statedAt_)});
     tick(leader);
 }
 
+auto RunOrderModel::storeStatement() -> void
+{
+    auto &leader = *leaders_.back();
+    if (succession_ || !leader.storeReachable_) {
+        return;
+    }
+    statement_ = std::make_shared<const LeaseStatement>(leader.scheduler_->stateLeases(progressEnd_));
+    statedAt_ = now_;
+    leader.scheduler_->onStatementConfirmed(*statement_);
+}
+
 auto RunOrderModel::tick(const std::weak_ptr<Leader> &leader) -> void
 {
     if (const auto current = leader.lock(); current) {
         current->scheduler_->tick();
+        if (current == leaders_.back()) {
+            storeStatement();
+        }
     }
     after(TickInterval, [this, leader] {
         tick(leader);
@@ -189,6 +204,7 @@
             }
             for (const auto &record : records) {
                 progress_[record.key_] = record.value_.value_or("");
+                progressOffsets_[record.key_] = progressEnd_++;
             }
             callback(true);
         });
--- a/tests/support/runordermodel.h
+++ b/tests/support/runordermodel.h
@@ -100,6 +100,8 @@
     auto listEntry(Site &site) -> void;
     auto unlistEntry(Site &site, Milliseconds duration) -> void;
     auto startLeader(Milliseconds previousRenewalsUntil) -> void;
+    /// Stores what the current leader states of its leases, for the next one.
+    auto storeStatement() -> void;
     auto tick(const std::weak_ptr<Leader> &leader) -> void;
     auto makeCalls(const std::weak_ptr<Leader> &leader) -> WorkerCalls;
     auto makeHooks(const std::weak_ptr<Leader> &leader) -> SchedulerHooks;
@@ -121,6 +123,10 @@
     OperatorConfig config_;
     std::unordered_set<std::string> evacuatedZones_;
     std::map<std::string, std::string> progress_;
+    std::map<std::string, std::uint64_t> progressOffsets_;
+    std::uint64_t progressEnd_ = 0;
+    std::shared_ptr<const LeaseStatement> statement_;
+    Milliseconds statedAt_{0};
     JobPhase phase_ = JobPhase::Queued;
     /// Start times of each task and whether each start was stray.
     std::map<TaskRef, std::vector<std::pair<Milliseconds, bool>>> starts_;
--- a/tests/unit/test_workerleases.cpp
+++ b/tests/unit/test_workerleases.cpp
@@ -93,6 +93,12 @@
         sessions_->start(Worker, Task, 1, "payload", {});
     }
 
+    /// The worker has a run of a former leader.
+    auto startedBefore() -> void
+    {
+        started_ = 1;
+    }
+
     DispatchOptions options_;
     bool answers_ = false;
     std::unique_ptr<WorkerSessions> sessions_;
@@ -161,3 +167,48 @@
     worker.advance(worker.options_.requestedLease_ + 2s);
     CHECK(worker.endedAt_.size() == 1);
 }
+
+TEST_CASE("a statement names the workers whose leases may be longer than requested", "[dispatch][inherit]")
+{
+    // Guards against a successor that counts a lease as requested which another incarnation or a former leader's command has made longer.
+    SilentWorker worker;
+    constexpr std::uint64_t Recorded = 1;
+
+    SECTION("as no report has listed their run")
+    {
+        worker.list();
+        worker.startRun();
+        CHECK(worker.sessions_->stateLeases(Recorded).unreported_ == std::vector{Worker});
+    }
+
+    SECTION("as a former leader may have granted it, until the requested lease is as long")
+    {
+        worker.answers_ = true;
+        worker.startedBefore();
+        worker.sessions_->adoptRun(Worker, 1, Task, 1, {});
+        worker.list();
+        worker.advance(500ms);
+        CHECK(worker.sessions_->stateLeases(Recorded).unreported_ == std::vector{Worker});
+        worker.advance(worker.options_.maxLease_ - worker.options_.requestedLease_);
+        const auto statement = worker.sessions_->stateLeases(Recorded);
+        CHECK(statement.unreported_.empty());
+        CHECK(statement.covers(Worker, Recorded - 1));
+        CHECK(!statement.covers(Worker, Recorded));
+    }
+
+    SECTION("unless they are silent")
+    {
+        worker.answers_ = true;
+        worker.list();
+        worker.advance(worker.options_.maxLease_);
+        worker.startRun();
+        worker.advance(1s);
+        CHECK(worker.sessions_->stateLeases(Recorded).silent_.empty());
+        worker.answers_ = false;
+        worker.advance(2s);
+        const auto statement = worker.sessions_->stateLeases(Recorded);
+        REQUIRE(statement.findSilent(Worker) != nullptr);
+        CHECK(statement.findSilent(Worker)->leaseLeft_ < worker.options_.requestedLease_);
+        CHECK(statement.unreported_.empty());
+    }
+}
