Reclaim a gang that its team has borrowed in part

Cause: a unit could be stopped only if its team kept its whole guarantee without it. Where the size of gangs or tasks does not divide the guarantee, the unit that is within the guarantee only in part could not be stopped, though it is beyond the guarantee as a whole: it would not be covered if it waited.

--- a/marjoramfold/dispatch/heldwork.cpp
+++ b/marjoramfold/dispatch/heldwork.cpp
@@ -166,6 +166,8 @@
         .with("quarantined", capacity.quarantined_)
         .with("avoided", request.avoidedWorkers_.size())
         .with("last_resort", request.waived_.contains(Preference::Quarantine))
-        .with("within_guarantee", request.withinGuarantee_);
+        .with("within_guarantee", request.withinGuarantee_)
+        .with("needs_accelerators", request.step_->task_.accelerators_ * request.count_)
+        .with("reclaimable", request.withinGuarantee_ ? selector.reclaimBudget().totalExcess() : 0);
 }
 } // namespace Marjoramfold
--- a/marjoramfold/dispatch/removalsearch.cpp
+++ b/marjoramfold/dispatch/removalsearch.cpp
@@ -237,16 +237,21 @@
     return decide(*choice, victims, local);
 }
 
+auto WorkerSelector::reclaimBudget() -> ReclaimBudget &
+{
+    if (!reclaimBudget_) {
+        reclaimBudget_ = std::make_unique<ReclaimBudget>(sessions_, guaranteeOf_);
+    }
+    return *reclaimBudget_;
+}
+
 auto WorkerSelector::findPlacementByReclaim(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
 {
     if (failed_.contains(request, local, FailedRequests::Search::Reclaim)) {
         return std::nullopt;
     }
     auto &victims = victimUnits();
-    if (!reclaimBudget_) {
-        reclaimBudget_ = std::make_unique<ReclaimBudget>(sessions_, guaranteeOf_);
-    }
-    auto &budget = *reclaimBudget_;
+    auto &budget = reclaimBudget();
     const VictimTerms termsOf = [&victims, &budget](const VictimUnit &unit) -> std::optional<double> {
         if (unit.isEnding_) {
             return 0.0;
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -54,6 +54,9 @@
     /// Placement that preempts lower priorities with the smallest loss of work.
     [[nodiscard]] auto findPlacementByPreemption(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>;
 
+    /// What is left to reclaim in the pass.
+    [[nodiscard]] auto reclaimBudget() -> ReclaimBudget &;
+
     /// Placement that also stops urgent runs of teams that use more than their guarantee, for a request within its own team's.
     [[nodiscard]] auto findPlacementByReclaim(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>;
 
@@ -184,7 +187,7 @@
     VictimHooks victimHooks_;
     /// Null until the first search that needs it.
     std::unique_ptr<VictimUnits> victimUnits_;
-    /// What is left to reclaim in the pass; null until the first search that needs it.
+    /// Null until it is asked for.
     std::unique_ptr<ReclaimBudget> reclaimBudget_;
     /// Empty until the first request that asks for it.
     std::map<std::string, PoolUse> poolUse_;
--- a/tests/unit/test_guarantees.cpp
+++ b/tests/unit/test_guarantees.cpp
@@ -237,6 +237,30 @@
         CHECK(fleet.scheduler_->counts().reclaims_ == 8);
     }
 
+    SECTION("a gang within the guarantee, in the room of gangs of which one is within the other guarantee in part")
+    {
+        // Guards against a guarantee that is never met, as the other team would be below its own without a gang that it has borrowed in part.
+        auto &config = fleet.config_;
+        config = OperatorConfig(3, {*config.queueNamed("urgent")}, {{"pool", false, false}}, {{TeamId("a"), {"key-a"}, 28}, {TeamId("b"), {"key-b"}, 20}});
+        for (int i = 0; i < 6; ++i) {
+            fleet.submit(asGang(teams.borrow("a" + std::to_string(i), 8)));
+            fleet.advance(100ms);
+        }
+        fleet.advance(500ms);
+        REQUIRE(teams.use("a") == 48);
+        auto spread = asGang(TwoTeams::owed(20));
+        spread.plan_.steps_[0].prefersOneRack_ = false;
+        fleet.submit(spread);
+        fleet.advance(StartDeadline);
+        CHECK(fleet.starts_[OwedJob].size() == 20);
+        CHECK(teams.use("a") == 24);
+        // The gangs that were stopped do not reclaim the accelerators back.
+        CHECK(fleet.scheduler_->counts().reclaims_ == 24);
+        fleet.advance(10s);
+        CHECK(fleet.phaseOf(OwedJob) == JobPhase::Completed);
+        CHECK(fleet.scheduler_->counts().reclaims_ == 24);
+    }
+
     SECTION("a gang within the guarantee, in the room of gangs that are spread over the workers")
     {
         for (int i = 0; i < 2; ++i) {
--- a/tests/unit/test_reclaimbudget.cpp
+++ b/tests/unit/test_reclaimbudget.cpp
@@ -84,6 +84,33 @@
         CHECK_FALSE(left.take(idle, runOf("two", idle)));
     }
 
+    SECTION("a run that is within the guarantee only in part is beyond it")
+    {
+        // Guards against a guarantee that is never met because the excess of the others is smaller than each of their runs.
+        const auto part = addRun(sessions, "two", {job, 0, 2, 0}, Rich, 3, 1);
+        const auto other = addRun(sessions, "two", {job, 0, 3, 0}, Rich, 4, 2);
+        addRun(sessions, "three", {job, 0, 3, 1}, Rich, 4, 2);
+        auto left = budget();
+        // Of 4, 4, 3 and 8 accelerators the first two, or the last one, fill the guarantee of 8.
+        CHECK(left.excessOf(Rich) == 11);
+        CHECK(left.totalExcess() == 11);
+        CHECK(left.take(part, runOf("two", part)));
+        CHECK(left.take(other, runOf("two", other)));
+        CHECK_FALSE(left.take(single, runOf("one", single)));
+    }
+
+    SECTION("what is left of a guarantee by runs that do not fill it is not given out either")
+    {
+        constexpr std::int64_t Fill = 5;
+        runOf("one", single).demand_.accelerators_ = Fill;
+        runOf("one", firstMember).stage_ = RunStage::Stopping;
+        const auto second = addRun(sessions, "two", {job, 0, 2, 0}, Rich, Fill, 1);
+        auto left = budget();
+        CHECK(left.excessOf(Rich) == Fill);
+        CHECK(left.take(second, runOf("two", second)));
+        CHECK_FALSE(left.take(single, runOf("one", single)));
+    }
+
     SECTION("less urgent work has no guarantee")
     {
         runOf("one", single).priority_ = 2;
