Count the statement of leases as work of the control thread

The statement that goes with each renewal of the leadership walks the runs of all workers four times a second; control_work did not show it. One-line descriptions of InheritedLeases are added.

Measured: builds, and the tests of leases pass.

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -161,6 +161,7 @@
 
 auto FleetScheduler::stateLeases(std::uint64_t progressKnown) -> LeaseStatement
 {
+    const WorkMeter::Scope scope(hooks_.workMeter_, WorkKind::Ticks);
     // Runs of a job that is not known yet are not among the sessions' runs.
     return sessions_.stateLeases(progressOfUnknownJobs_.empty() ? progressKnown : 0);
 }
--- a/marjoramfold/dispatch/inheritedleases.h
+++ b/marjoramfold/dispatch/inheritedleases.h
@@ -46,6 +46,7 @@
 class InheritedLeases
 {
 public:
+    /// Knows of no former leader until setFormerCommands() is called.
     explicit InheritedLeases(const DispatchOptions &options);
 
     /// Sets what is known of the former leaders; it may become tighter.
@@ -60,6 +61,7 @@
     /// Time after which a former leader's run has ended, unless this leader renewed its lease; empty until known.
     [[nodiscard]] auto endOf(const WorkerId &worker, const WorkerRun &run) const -> std::optional<BootTime>;
 
+    /// What limits the lease of a former leader's run.
     [[nodiscard]] auto boundOf(const WorkerId &worker, const WorkerRun &run) const -> LeaseBound;
 
     /// Longest lease of a run that a former leader may have granted, counted from a report of the run's worker.
@@ -69,6 +71,7 @@
     [[nodiscard]] auto longestRequested() const -> std::chrono::milliseconds;
 
 private:
+    /// True when a report of the worker had listed the run to the last former leader.
     [[nodiscard]] auto wasReported(const WorkerId &worker, const WorkerRun &run) const -> bool;
     /// Duration that a lease of the given length may take on the leader's clock.
     [[nodiscard]] auto stretched(std::chrono::milliseconds time) const -> std::chrono::milliseconds;
