Renew leases for longer without the store while it is slow

Cause: leases were renewed for 2 s after the last answer. The partition of the feed takes some four appends a second on such a store, so that a leader can wait for over 5 s although the store works.

Change: a leader states with each renewal for how long it renews leases without a further answer: 5 s for 10 s after an answer that took 120 ms or more, else 2 s. It uses the time of a confirmed statement only. A successor takes the latest end that any statement allows; one that has not applied all of them, as after a load, counts 5 s from its load.

Measured: the new test case fails with 2 s always and passes now; a successor waits for the longer time in a new section. The other tests of leases, leaders, feed and election pass.

--- a/marjoramfold/dispatch/dispatchoptions.h
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -17,8 +17,8 @@
     std::chrono::milliseconds leaseMargin_{200};
     /// A leader whose leadership the store no longer confirms stays in office for this long: it asks for reports and sends stops.
     std::chrono::milliseconds maxTermWithoutStore_{5000};
-    /// Such a leader renews leases only for this long; its successor relies on the limit. With the requested lease it is above the store's
-    /// longest outages, 6.7 s.
+    /// Such a leader renews leases only for this long, or while the store is slow for as long as it is in office; its successor relies on what
+    /// it stated. With the requested lease it is above the store's longest outages, 6.7 s.
     std::chrono::milliseconds maxRenewalWithoutStore_{2000};
     /// Such a leader sends start commands, and renews the leases of workers with runs that they have not reported, only for this long: a worker
     /// that was restarted, whose clock the leader does not know, may grant the longest lease for them. Beyond the delay of a slow store.
--- a/marjoramfold/dispatch/leasestatement.h
+++ b/marjoramfold/dispatch/leasestatement.h
@@ -28,7 +28,11 @@
 struct LeaseStatement {
     /// Most workers that a statement names.
     static constexpr std::size_t MaxWorkers = 256;
+    /// Longest time that a statement may allow for renewals.
+    static constexpr std::chrono::milliseconds MaxRenewsFor{5000};
 
+    /// For how long after this statement was sent the leader may renew leases without a further answer of the store.
+    std::chrono::milliseconds renewsFor_{0};
     /// Runs recorded before this offset of the progress stream have been listed by their workers' reports and have no longer lease than the
     /// leader requests, but for runs on the workers below.
     std::uint64_t recordedBefore_ = 0;
@@ -41,7 +45,7 @@
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(recordedBefore_, unreported_, silent_);
+        archive(renewsFor_, recordedBefore_, unreported_, silent_);
     }
 
     /// The statement on a silent worker; null for any other one.
--- a/marjoramfold/node/jobfeed.cpp
+++ b/marjoramfold/node/jobfeed.cpp
@@ -64,6 +64,7 @@
     if (record.statement_) {
         leader.statement_ = record.statement_;
         leader.statedAt_ = now;
+        leader.renewsUntil_ = std::max(leader.renewsUntil_, now + record.statement_->renewsFor_);
     }
 }
 
@@ -324,14 +325,17 @@
                        now,
                        firstRenewalAt,
                        std::move(statement),
-                       leader_.statedAt_};
+                       leader_.statedAt_,
+                       // Statements that were not applied here may have allowed the longest time.
+                       isSame ? leader_.renewsUntil_ : now + LeaseStatement::MaxRenewsFor};
             applyStatement(*record, now, leader_);
         }
         return;
     }
     if (record->epoch_ == leader_.epoch_ && offset >= leader_.epoch_) {
         predecessor_ = leader_;
-        leader_ = {offset + 1, record->instance_, record->process_, false, record->epoch_ == 0, now, std::nullopt, nullptr, {}};
+        const auto renewsUntil = reloading_ ? now + LeaseStatement::MaxRenewsFor : now;
+        leader_ = {offset + 1, record->instance_, record->process_, false, record->epoch_ == 0, now, std::nullopt, nullptr, {}, renewsUntil};
     }
 }
 
--- a/marjoramfold/node/jobfeed.h
+++ b/marjoramfold/node/jobfeed.h
@@ -87,6 +87,8 @@
     /// The leader's newest statement, and when it was applied here; null for a version without statements.
     std::shared_ptr<const LeaseStatement> statement_ = nullptr;
     BootTime statedAt_{};
+    /// Until when the leader may renew leases by its statements so far.
+    BootTime renewsUntil_{};
 };
 
 /// Callbacks of a JobFeed.
--- a/marjoramfold/node/leaderruntime.cpp
+++ b/marjoramfold/node/leaderruntime.cpp
@@ -16,6 +16,9 @@
 /// Interval of the leader's renewal records.
 constexpr std::chrono::milliseconds RenewInterval{250};
 constexpr std::chrono::milliseconds TickInterval{100};
+/// An answer that takes this long shows that the store is slow, for some time after it. Leases are then renewed for longer without an answer.
+constexpr std::chrono::milliseconds SlowStoreAnswer{120};
+constexpr std::chrono::seconds SlowStoreMemory{10};
 /// Time before the limit at which the last renewal of a lease without the store is sent.
 constexpr std::chrono::milliseconds LastRenewalLead{100};
 /// Timeout of the first request for a page of progress records; it doubles with each failure, as a busy store answers more slowly.
@@ -38,6 +41,7 @@
     , feed_(feed)
     , startedAt_(BootClock::now())
     , confirmedAt_(startedAt_)
+    , renewsFor_(context_.dispatch_.maxRenewalWithoutStore_)
 {
 }
 
@@ -255,9 +259,8 @@
         return none;
     }
     const auto within = [&options, &predecessor](BootTime confirmed) {
-        // Versions without statements renew leases for as long as they are in office.
-        const auto renewal = predecessor.statement_ ? options.maxRenewalWithoutStore_ : options.maxTermWithoutStore_;
-        return FormerCommands{confirmed + renewal, confirmed + options.maxStartWithoutStore_, predecessor.statement_, std::nullopt, true};
+        // A leader renews no leases out of office.
+        return FormerCommands{confirmed + options.maxTermWithoutStore_, confirmed + options.maxStartWithoutStore_, predecessor.statement_, std::nullopt, true};
     };
     // The store confirms no record of a former leader behind this leader's first renewal, so the feed has shown the last one.
     const auto hasLastRecord = leader.epoch_ == epoch_ && leader.firstRenewalAt_ && predecessor.firstRenewalAt_;
@@ -270,6 +273,9 @@
         return former;
     }
     auto former = within(hasLastRecord ? std::min(predecessor.lastRecordAt_, *othersFencedAt_) : *othersFencedAt_);
+    if (hasLastRecord && predecessor.statement_) {
+        former.reportedUntil_ = std::min(former.reportedUntil_, predecessor.renewsUntil_);
+    }
     former.statedAt_ = statedAt;
     return former;
 }
@@ -315,7 +321,10 @@
     if (!renewing_) {
         renewing_ = true;
         const auto sentAt = BootClock::now();
-        auto statement = std::make_shared<const LeaseStatement>(scheduler_->stateLeases(begun_ ? progressKnown_ : 0));
+        auto stated = scheduler_->stateLeases(begun_ ? progressKnown_ : 0);
+        const auto isSlow = slowAt_ != BootTime{} && sentAt - slowAt_ < SlowStoreMemory;
+        stated.renewsFor_ = isSlow ? LeaseStatement::MaxRenewsFor : context_.dispatch_.maxRenewalWithoutStore_;
+        auto statement = std::make_shared<const LeaseStatement>(std::move(stated));
         feedAppender_->writeAhead({JobFeed::leadershipRecord({LeadershipAction::Renew, epoch_, context_.instance_, context_.process_, 0, statement})},
                                   [weak, sentAt, statement](const WriteResult &result) {
                                       const auto self = weak.lock();
@@ -326,7 +335,10 @@
                                       if (std::holds_alternative<WriteFenced>(result)) {
                                           self->context_.fenced_();
                                       } else {
+                                          const auto now = BootClock::now();
+                                          self->slowAt_ = now - sentAt >= SlowStoreAnswer ? now : self->slowAt_;
                                           self->confirmedAt_ = sentAt;
+                                          self->renewsFor_ = statement->renewsFor_;
                                           self->scheduler_->onStatementConfirmed(*statement);
                                       }
                                   });
@@ -453,7 +465,7 @@
 auto LeaderRuntime::limitRenewal(RenewCommand &command) const -> void
 {
     const auto &options = context_.dispatch_;
-    const auto limit = command.hasUnreportedRuns_ ? options.maxStartWithoutStore_ : options.maxRenewalWithoutStore_;
+    const auto limit = command.hasUnreportedRuns_ ? options.maxStartWithoutStore_ : renewsFor_;
     const auto left = limit - std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - confirmedAt_);
     if (left <= std::chrono::milliseconds(0)) {
         // The report is asked for, and the lease stays as it is.
--- a/marjoramfold/node/leaderruntime.h
+++ b/marjoramfold/node/leaderruntime.h
@@ -113,6 +113,10 @@
     std::optional<BootTime> othersFencedAt_;
     /// Time at which the newest renewal stored under this epoch was sent.
     BootTime confirmedAt_;
+    /// For how long after `confirmedAt_` leases may be renewed, as that renewal stated.
+    std::chrono::milliseconds renewsFor_;
+    /// When the store last answered slowly; zero for never.
+    BootTime slowAt_{};
     BootTime lastExpiryCheck_{};
     /// Records of queue settings that were sent lately, by key.
     std::map<std::string, std::string> sentSettings_;
--- a/tests/unit/test_inheritedleases.cpp
+++ b/tests/unit/test_inheritedleases.cpp
@@ -60,6 +60,15 @@
         }
     }
 
+    /// The store answers a renewal of the first leader late, and the next one at once.
+    auto answerSlowly() -> void
+    {
+        first_->appendsHeld_ = true;
+        site_.advance(500ms);
+        first_->releaseAppends();
+        site_.advance(500ms);
+    }
+
     auto reachWorker() -> void
     {
         for (auto *leader : {first_.get(), second_.get(), third_.get()}) {
@@ -144,6 +153,17 @@
         CHECK(site.isRunningOn("one"));
     }
 
+    SECTION("when the former leader renews the lease for longer, as the store was slow before")
+    {
+        fleet.answerSlowly();
+        fleet.loseWorker(fleet.first_.get());
+        fleet.first_->appendsRefused_ = true;
+        site.advance(Succession);
+        fleet.second_->lead();
+        site.advance(9s);
+        CHECK(site.isRunningOn("one"));
+    }
+
     SECTION("when a silent worker answers the former leader again, which the store does not confirm any more")
     {
         fleet.loseWorker();
@@ -198,6 +218,16 @@
     CHECK(site.mostRuns_ == 1);
 }
 
+TEST_CASE("leases outlast a store that is slow and then answers nothing", "[leader][inherit]")
+{
+    // Guards against the work of a whole fleet that ends because its leader hears late from an overloaded store.
+    Succeeded fleet(10s);
+    fleet.answerSlowly();
+    fleet.first_->appendsRefused_ = true;
+    fleet.site_.advance(10s);
+    CHECK(fleet.site_.isRunningOn("one"));
+}
+
 TEST_CASE("leases outlast a long outage of the store", "[leader][inherit]")
 {
     // Guards against a wait that is short because a whole fleet loses its work with the store.
@@ -227,7 +257,7 @@
     run.recordedAt_ = 4;
     FormerCommands former{BootTime(102s), BootTime(101500ms), nullptr, BootTime(100s)};
     const auto stated = [&](std::uint64_t recordedBefore, std::vector<WorkerId> unreported, std::vector<SilentLease> silent) {
-        former.statement_ = std::make_shared<const LeaseStatement>(LeaseStatement{recordedBefore, std::move(unreported), std::move(silent)});
+        former.statement_ = std::make_shared<const LeaseStatement>(LeaseStatement{2s, recordedBefore, std::move(unreported), std::move(silent)});
     };
     InheritedLeases leases(options);
     CHECK(!leases.endOf(worker, run));
@@ -289,7 +319,7 @@
         feed.apply({{offset++, record}});
     };
     apply(JobFeed::leadershipRecord({LeadershipAction::Claim, 0, "first", 1, 1}));
-    const auto statement = std::make_shared<const LeaseStatement>(LeaseStatement{7, {WorkerId("w1")}, {{WorkerId("w2"), 1s}}});
+    const auto statement = std::make_shared<const LeaseStatement>(LeaseStatement{2s, 7, {WorkerId("w1")}, {{WorkerId("w2"), 1s}}});
     const auto renewal = JobFeed::leadershipRecord({LeadershipAction::Renew, 1, "first", 1, 0, statement});
     apply(renewal);
 
