--- /dev/null
+++ b/review/world-3/cases.cc
@@ -0,0 +1,119 @@
+#include "review/world-3/cases.hh"
+
+#include "review/world-3/world.hh"
+
+#include <algorithm>
+
+namespace Review
+{
+namespace
+{
+/// Time after the end of the traffic at which jobs are asked for, and for which a job may have nothing running.
+constexpr Milliseconds FinishTime{14'000};
+constexpr Milliseconds LongestGap{3000};
+constexpr Milliseconds SampleInterval{20};
+
+/// A job of filling tasks that need no memory and no accelerator, so that they take nothing of an executor's capacity.
+auto playTasksWithoutDemand(const CaseOptions &options) -> int
+{
+    constexpr unsigned Tasks = 24;
+    World world(options.folder_, options.program_, 4, 12);
+    if (!world.start()) {
+        return CouldNotRun;
+    }
+    const std::string id = "00000000000000a1";
+    nlohmann::json step{{"count", Tasks}, {"cpu", 500}, {"estimate_ms", 2000}, {"fills", true}};
+    if (!options.withTrouble_) {
+        step["mem_mb"] = 256;
+    }
+    world.submit("/batch/", id, {{"spec", "fills"}, {"steps", {step}}}, 4, 0);
+    if (!world.runUntil(
+            [&world, &id] {
+                return world.isAccepted(id);
+            },
+            10'000ms)) {
+        return CouldNotRun;
+    }
+    world.note("job " + id + " accepted; end of the traffic");
+    const auto end = world.now();
+    auto lastRunAt = end;
+    while (world.now() < end + FinishTime.count() + LongestGap.count()) {
+        world.runFor(SampleInterval);
+        const auto isDone = world.hasEnded(id + ".0.0." + std::to_string(Tasks - 1));
+        lastRunAt = world.hasRun(id) || isDone ? world.now() : lastRunAt;
+    }
+    const auto state = world.askState("/batch/", id);
+    unsigned machines = 0;
+    for (const auto &instance : world.instances()) {
+        world.note(instance.name_ + " ended by itself " + std::to_string(instance.ends_) + " times");
+        machines += instance.ends_ >= 3 ? 1 : 0;
+    }
+    const auto gap = world.now() - lastRunAt;
+    const auto isLost = gap >= LongestGap.count();
+    world.note("state '" + state + "', nothing running for " + std::to_string(gap) + " ms at the end");
+    world.note(std::string("LOST ") + (isLost ? "broken" : "held") + "; Fault " + (machines >= 2 ? "broken" : "held")
+               + ", machines with three ends or more: " + std::to_string(machines));
+    return isLost || machines >= 2 ? RuleBroken : RuleHeld;
+}
+
+/// One of twelve executors is unhealthy and refuses what it is told when a scheduled job is due.
+auto playUnhealthyExecutor(const CaseOptions &options) -> int
+{
+    constexpr Milliseconds DueAfter{10'700};
+    constexpr Milliseconds UnhealthyFrom{10'600};
+    constexpr Milliseconds UnhealthyFor{6500};
+    World world(options.folder_, options.program_, 4, 12);
+    if (!world.start()) {
+        return CouldNotRun;
+    }
+    const std::string id = "00000000000000a1";
+    const auto task = id + ".0.0.0";
+    const auto wallNow = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    const nlohmann::json step{{"count", 1}, {"cpu", 11'000}, {"mem_mb", 46'000}, {"gpu", 1}, {"estimate_ms", 2000}};
+    const nlohmann::json body{{"spec", "scheduled"}, {"steps", {step}}, {"times", 1}, {"start_ms", (wallNow + DueAfter).count()}, {"interval_ms", 1000}};
+    world.submit("/batch/", id, body, 4, 0);
+    if (!world.runUntil(
+            [&world, &id] {
+                return world.isAccepted(id);
+            },
+            5000ms)) {
+        return CouldNotRun;
+    }
+    world.note("job " + id + " accepted; end of the traffic");
+    const auto end = world.now();
+    const auto due = end + DueAfter.count();
+    auto &unhealthy = world.executors().front();
+    if (options.withTrouble_) {
+        world.after(UnhealthyFrom, [&world, &unhealthy] {
+            world.note("unhealthy: " + unhealthy.id_);
+            unhealthy.isUnhealthy_ = true;
+        });
+        world.after(UnhealthyFrom + UnhealthyFor, [&world, &unhealthy] {
+            world.note("healthy again: " + unhealthy.id_);
+            unhealthy.isUnhealthy_ = false;
+        });
+    }
+    // The longest time up to the end of the check in which the task had its turn and nothing of the job ran.
+    std::int64_t longest = 0;
+    auto lastRunAt = due;
+    while (world.now() < end + FinishTime.count() + LongestGap.count()) {
+        world.runFor(SampleInterval);
+        const auto waits = world.now() >= due && !world.hasEnded(task) && !world.hasRun(id);
+        lastRunAt = waits ? lastRunAt : world.now();
+        longest = std::max(longest, world.now() - lastRunAt);
+    }
+    world.note("starts refused by " + unhealthy.id_ + ": " + std::to_string(unhealthy.refusedStarts_));
+    world.note("longest time with nothing running: " + std::to_string(longest) + " ms; state '" + world.askState("/batch/", id) + "'");
+    return longest >= LongestGap.count() ? RuleBroken : RuleHeld;
+}
+} // namespace
+
+auto cases() -> const std::map<std::string, std::function<int(const CaseOptions &)>> &
+{
+    static const std::map<std::string, std::function<int(const CaseOptions &)>> Cases{
+        {"tasks-without-demand", &playTasksWithoutDemand},
+        {"unhealthy-executor", &playUnhealthyExecutor},
+    };
+    return Cases;
+}
+} // namespace Review
