Review case 13: a guarantee is not there while another tenant's work is spread over all executors

An urgent job of 8 accelerators does not begin although its tenant uses none of its 16 guaranteed ones and 16 are free in halves of executors.

--- a/review/world-3/cases.cc
+++ b/review/world-3/cases.cc
@@ -106,6 +106,59 @@
     world.note("longest time with nothing running: " + std::to_string(longest) + " ms; state '" + world.askState("/batch/", id) + "'");
     return longest >= LongestGap.count() ? RuleBroken : RuleHeld;
 }
+/// Two tenants with 16 guaranteed accelerators each on four executors of eight. What is left of the other tenant's work takes half of each executor.
+auto playDividedGuarantee(const CaseOptions &options) -> int
+{
+    constexpr Milliseconds ReclaimTime{2700};
+    constexpr Milliseconds WatchTime{20'000};
+    constexpr Milliseconds ShortWork{4000};
+    constexpr Milliseconds LongWork{40'000};
+    World world(options.folder_, options.program_, 4, 4);
+    if (!world.start()) {
+        return CouldNotRun;
+    }
+    const auto step = [](int accelerators, Milliseconds work) {
+        return nlohmann::json{{"count", 1}, {"cpu", 15'000}, {"mem_mb", 61'000}, {"gpu", accelerators}, {"estimate_ms", work.count()}};
+    };
+    std::vector<std::string> longJobs;
+    for (unsigned i = 0; i < 8; ++i) {
+        const auto id = "00000000000000b" + std::to_string(i);
+        const auto isLong = options.withTrouble_ ? i % 2 == 1 : i >= 4;
+        const auto work = isLong ? LongWork : ShortWork;
+        world.setWork(id + ".0.0.0", work);
+        world.submitAs(OtherKey, "/urgent/", id, {{"spec", "other"}, {"steps", {step(4, work)}}}, 4, i);
+        if (isLong) {
+            longJobs.push_back(id);
+        }
+        world.runFor(200ms);
+    }
+    world.runFor(ShortWork + 2000ms);
+    for (const auto &executor : world.executors()) {
+        world.note(executor.id_ + " runs " + std::to_string(executor.worker_->running().size()) + " tasks of 4 accelerators");
+    }
+    const auto isReady = std::all_of(longJobs.begin(), longJobs.end(), [&world](const std::string &id) {
+        return world.hasRun(id);
+    });
+    const std::string id = "00000000000000a1";
+    world.submit("/urgent/", id, {{"spec", "guaranteed"}, {"steps", {step(8, 2000ms)}}}, 4, 0);
+    if (!isReady
+        || !world.runUntil(
+            [&world, &id] {
+                return world.isAccepted(id);
+            },
+            3000ms)) {
+        return CouldNotRun;
+    }
+    const auto acceptedAt = world.now();
+    const auto begins = world.runUntil(
+        [&world, &id] {
+            return !world.runsOf(id + ".0.0.0").empty();
+        },
+        WatchTime);
+    const auto waited = world.now() - acceptedAt;
+    world.note("job " + id + (begins ? " began " : " has not begun ") + std::to_string(waited) + " ms after its confirmation");
+    return waited > ReclaimTime.count() ? RuleBroken : RuleHeld;
+}
 } // namespace
 
 auto cases() -> const std::map<std::string, std::function<int(const CaseOptions &)>> &
@@ -113,6 +166,7 @@
     static const std::map<std::string, std::function<int(const CaseOptions &)>> Cases{
         {"tasks-without-demand", &playTasksWithoutDemand},
         {"unhealthy-executor", &playUnhealthyExecutor},
+        {"divided-guarantee", &playDividedGuarantee},
     };
     return Cases;
 }
--- a/review/world-3/world.hh
+++ b/review/world-3/world.hh
@@ -24,6 +24,10 @@
 using namespace std::chrono_literals;
 using Milliseconds = std::chrono::milliseconds;
 
+/// Keys of the two tenants, to each of which 16 accelerators are guaranteed.
+constexpr const char *Key = "review-key";
+constexpr const char *OtherKey = "other-key";
+
 /// An executor of the project's stand-in behind a server of its own, which can answer commands as an unhealthy executor does.
 struct Executor {
     std::string id_;
@@ -84,9 +88,13 @@
               const std::string &id,
               const nlohmann::json &body,
               std::size_t instance,
-              std::function<void(int status, const std::string &state)> done) -> void;
+              std::function<void(int status, const std::string &state)> done,
+              const std::string &key = Key) -> void;
     /// Hands a job in as a client does: after no answer, 429, 502, 503 or 504 it comes again at the next instance.
     auto submit(const std::string &prefix, const std::string &id, const nlohmann::json &body, unsigned attempts, std::size_t instance) -> void;
+    /// The same with the key of another tenant.
+    auto submitAs(const std::string &key, const std::string &prefix, const std::string &id, const nlohmann::json &body, unsigned attempts, std::size_t instance)
+        -> void;
     /// Asks one instance after the other for the state of a job; empty without a 200.
     auto askState(const std::string &prefix, const std::string &id) -> std::string;
 
