Review case 15: urgent work without accelerators makes a guarantee void

A tenant's guaranteed job does not begin while another tenant's urgent tasks use all cores and no accelerator.

--- a/review/world-3/cases.cc
+++ b/review/world-3/cases.cc
@@ -159,6 +159,52 @@
     world.note("job " + id + (begins ? " began " : " has not begun ") + std::to_string(waited) + " ms after its confirmation");
     return waited > ReclaimTime.count() ? RuleBroken : RuleHeld;
 }
+/// Urgent work of another tenant uses all cores of all executors, and no accelerator. A tenant hands in a job within its guarantee.
+auto playCoresInUse(const CaseOptions &options) -> int
+{
+    constexpr Milliseconds ReclaimTime{2700};
+    constexpr Milliseconds WatchTime{20'000};
+    constexpr Milliseconds OtherWork{60'000};
+    constexpr int AllCores = 128'000;
+    constexpr int MostCores = 96'000;
+    World world(options.folder_, options.program_, 4, 4);
+    if (!world.start()) {
+        return CouldNotRun;
+    }
+    const auto cores = options.withTrouble_ ? AllCores : MostCores;
+    std::vector<std::string> others;
+    for (unsigned i = 0; i < 4; ++i) {
+        others.push_back("00000000000000b" + std::to_string(i));
+        world.setWork(others.back() + ".0.0.0", OtherWork);
+        const nlohmann::json step{{"count", 1}, {"cpu", cores}, {"mem_mb", 4000}, {"estimate_ms", OtherWork.count()}};
+        world.submitAs(OtherKey, "/urgent/", others.back(), {{"spec", "other"}, {"steps", {step}}}, 4, i);
+        world.runFor(200ms);
+    }
+    world.runFor(5000ms);
+    const auto isReady = std::all_of(others.begin(), others.end(), [&world](const std::string &id) {
+        return world.hasRun(id);
+    });
+    const std::string id = "00000000000000a1";
+    const nlohmann::json step{{"count", 1}, {"cpu", 15'000}, {"mem_mb", 61'000}, {"gpu", 8}, {"estimate_ms", 2000}};
+    world.submit("/urgent/", id, {{"spec", "guaranteed"}, {"steps", {step}}}, 4, 0);
+    if (!isReady
+        || !world.runUntil(
+            [&world, &id] {
+                return world.isAccepted(id);
+            },
+            3000ms)) {
+        return CouldNotRun;
+    }
+    const auto acceptedAt = world.now();
+    const auto begins = world.runUntil(
+        [&world, &id] {
+            return !world.runsOf(id + ".0.0.0").empty();
+        },
+        WatchTime);
+    const auto waited = world.now() - acceptedAt;
+    world.note("job " + id + (begins ? " began " : " has not begun ") + std::to_string(waited) + " ms after its confirmation");
+    return waited > ReclaimTime.count() ? RuleBroken : RuleHeld;
+}
 } // namespace
 
 auto cases() -> const std::map<std::string, std::function<int(const CaseOptions &)>> &
@@ -167,6 +213,7 @@
         {"tasks-without-demand", &playTasksWithoutDemand},
         {"unhealthy-executor", &playUnhealthyExecutor},
         {"divided-guarantee", &playDividedGuarantee},
+        {"cores-in-use", &playCoresInUse},
     };
     return Cases;
 }
