Simulated workers: the occurrences of a scheduled gang are separate gangs

Cause: the simulated workers of the unit tests counted the members of a gang by job, step and run only. With two or more occurrences at work at once, more members than the gang has were present, so that none of them ever worked: "a gang stayed incomplete". No test had a scheduled gang so far. The platform names a task by its occurrence too, and "all tasks of one run" are those of one occurrence.

Change: the occurrence counts as well. The check itself is as it was.

--- a/tests/support/simulatedfleet.cpp
+++ b/tests/support/simulatedfleet.cpp
@@ -315,7 +315,8 @@
                 std::size_t present = 0;
                 for (const auto &other : workers_) {
                     for (const auto &[otherTask, otherRun] : other.second.runs_) {
-                        present += otherTask.job_ == task.job_ && otherTask.step_ == task.step_ && otherRun.run_ == run.run_ ? 1 : 0;
+                        const auto isSameStep = otherTask.job_ == task.job_ && otherTask.occurrence_ == task.occurrence_ && otherTask.step_ == task.step_;
+                        present += isSameStep && otherRun.run_ == run.run_ ? 1 : 0;
                     }
                 }
                 together = present == plan.count_ || run.worked_.count() > 0;
