Count a worker as no longer idle only when its capacity is in use

Seen by callers: one valid job ends each leader in turn, and it is stored, so that its successors end as well.

Cause: a worker counted as idle in two ways. A candidate was idle while its free capacity equalled its capacity. The counts by pool and rack went down with each placement on an idle candidate, whether it stayed idle or not. A task without demand (no memory, no accelerators, and no cores or cores that are not counted because it fills) leaves its worker idle, so that the counts fell with each such task until the assertion in IdleReserve::takeIdle() failed, after as many tasks as the rack had idle workers.

Change: idle is defined once, in WorkerSelector::isIdle(): the worker has capacity and all of it is free. The counts change when that changes. The next pass, the reserve, the order of racks and the summary of capacity use the same definition; the accelerators by rack are a sum of what is free and never disagreed. A worker without any capacity is never idle, since it can hold nothing that is worth a reserve; before, it counted as an idle worker for ever.

--- a/marjoramfold/dispatch/idlereserve.h
+++ b/marjoramfold/dispatch/idlereserve.h
@@ -16,7 +16,7 @@
     /// Adds a worker. Names must outlive the reserve.
     auto addWorker(std::string_view pool, std::string_view rack, bool idle) -> void;
 
-    /// An idle worker of the pool and rack has got work.
+    /// A worker of the pool and rack that was counted as idle no longer is.
     auto takeIdle(std::string_view pool, std::string_view rack) -> void;
 
     /// Number of a pool's idle workers beyond those that only urgent work may use.
--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -426,16 +426,18 @@
 
 auto WorkerSelector::isIdle(const Candidate &candidate) -> bool
 {
-    return candidate.free_ == candidate.session_->entry_.capacity_;
+    const auto &capacity = candidate.session_->entry_.capacity_;
+    return candidate.free_ == capacity && capacity != ResourceVector();
 }
 
 auto WorkerSelector::allocate(WorkerSession &session, const ResourceVector &demand) -> void
 {
     if (auto *candidate = candidateOf(session); candidate != nullptr) {
-        if (!candidate->quarantined_ && isIdle(*candidate)) {
+        const auto wasIdle = isIdle(*candidate);
+        candidate->free_ -= demand;
+        if (!candidate->quarantined_ && wasIdle && !isIdle(*candidate)) {
             idle_.takeIdle(session.entry_.pool_, session.entry_.rack_.value());
         }
-        candidate->free_ -= demand;
         if (!rackFree_.empty() && !candidate->quarantined_) {
             rackFree_[session.entry_.rack_.value()] -= demand.accelerators_;
         }
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -164,6 +164,7 @@
     [[nodiscard]] auto victimUnits() -> VictimUnits &;
     [[nodiscard]] auto makeVictimUnits() const -> VictimUnits;
 
+    /// True when the worker has capacity and all of it is free. Runs that take no capacity leave it idle, since any work still fits there.
     [[nodiscard]] static auto isIdle(const Candidate &candidate) -> bool;
 
     /// Number of idle workers in a candidate's rack.
