Divide instead of counting up how many small tasks a worker can hold

Cause: the searches counted the tasks that fit on a worker by subtracting one after the other, up to the number of the request's tasks. A task that needs nothing, one core in a thousand or 1 MB fits as often as is asked, so that a step of 20,000 such tasks took 20,000 turns for each worker and search, on the control thread. The search for victims already divided, in a copy of its own.

Change: one function, fittingTasks(), beside the type of resources, for both. The result is the same.

--- a/marjoramfold/dispatch/placementrequest.h
+++ b/marjoramfold/dispatch/placementrequest.h
@@ -16,17 +16,6 @@
 
 namespace Marjoramfold
 {
-/// Number of tasks that fit into free resources, up to a limit.
-[[nodiscard]] inline auto countFitting(ResourceVector free, const ResourceVector &task, std::uint32_t limit) -> std::uint32_t
-{
-    std::uint32_t count = 0;
-    while (count < limit && free.covers(task)) {
-        free -= task;
-        ++count;
-    }
-    return count;
-}
-
 /// Requirements of a gang, or of independent tasks of a step, that are placed together.
 struct PlacementRequest {
     const StepPlan *step_ = nullptr;
--- a/marjoramfold/dispatch/removalplan.cpp
+++ b/marjoramfold/dispatch/removalplan.cpp
@@ -15,23 +15,6 @@
 /// Share of a charge that the cost may add to the weight where units are chosen by their charges; it decides between equal charges only.
 constexpr double CostShareOfCharge = 1e-3;
 
-/// Number of tasks that fit into free resources, up to a limit. Divides, since a worker may hold dozens of small tasks.
-auto fittingTasks(const ResourceVector &free, const ResourceVector &task, std::uint32_t limit) -> std::uint32_t
-{
-    std::int64_t count = limit;
-    const auto restrict = [&count](std::int64_t available, std::int64_t needed) {
-        if (available < needed) {
-            count = 0;
-        } else if (needed > 0) {
-            count = std::min(count, available / needed);
-        }
-    };
-    restrict(free.milliCores_, task.milliCores_);
-    restrict(free.memoryMb_, task.memoryMb_);
-    restrict(free.accelerators_, task.accelerators_);
-    return static_cast<std::uint32_t>(count);
-}
-
 /// How much of what a worker lacks for one task a unit frees there: the sum over the resources of which too little is free.
 auto usefulShare(const ResourceVector &freed, const ResourceVector &free, const ResourceVector &task) -> double
 {
--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -93,7 +93,7 @@
     for (const auto &candidate : candidates_) {
         if (!candidate.quarantined_ && eligible(candidate, request)) {
             const auto &entry = candidate.session_->entry_;
-            fits += countFitting(entry.capacity_, request.step_->task_, request.taskLimitAt(entry.id_, required));
+            fits += fittingTasks(entry.capacity_, request.step_->task_, request.taskLimitAt(entry.id_, required));
         }
         if (fits >= required) {
             failed_.addFit(request, false);
@@ -167,7 +167,7 @@
             --spareWorkers;
         }
         const auto &id = candidate->session_->entry_.id_;
-        const auto fits = countFitting(candidate->free_, request.step_->task_, request.taskLimitAt(id, request.count_));
+        const auto fits = fittingTasks(candidate->free_, request.step_->task_, request.taskLimitAt(id, request.count_));
         if (fits > 0) {
             const auto withoutProgress = preferHealthy && !wasRecentlyHealthy(*candidate->session_);
             ranked.push_back({fits, candidate, (candidate->quarantined_ ? 2U : 0U) + (withoutProgress ? 1U : 0U), 0});
@@ -302,7 +302,7 @@
         std::uint32_t fits = 0;
         for (const auto *candidate : group) {
             fits +=
-                countFitting(candidate->session_->entry_.capacity_, request.step_->task_, request.taskLimitAt(candidate->session_->entry_.id_, request.count_));
+                fittingTasks(candidate->session_->entry_.capacity_, request.step_->task_, request.taskLimitAt(candidate->session_->entry_.id_, request.count_));
         }
         if (fits >= (request.step_->gang_ ? request.count_ : 1)) {
             return true;
@@ -347,7 +347,7 @@
     std::uint32_t fits = 0;
     for (const auto &candidate : candidates_) {
         if (candidate.free_.covers(request.step_->task_) && matches(candidate, request)) {
-            fits += countFitting(candidate.free_, request.step_->task_, request.taskLimitAt(candidate.session_->entry_.id_, required));
+            fits += fittingTasks(candidate.free_, request.step_->task_, request.taskLimitAt(candidate.session_->entry_.id_, required));
         }
         if (fits >= required) {
             return true;
--- a/marjoramfold/fleet/jobplan.h
+++ b/marjoramfold/fleet/jobplan.h
@@ -49,6 +49,24 @@
     }
 };
 
+/// Number of tasks that fit into free resources, up to a limit. Divides, since a worker may hold thousands of tasks that need little or nothing.
+[[nodiscard]] inline auto fittingTasks(const ResourceVector &free, const ResourceVector &task, std::uint32_t limit) -> std::uint32_t
+{
+    std::int64_t count = limit;
+    const auto restrict = [&count](std::int64_t available, std::int64_t needed) {
+        if (available < needed) {
+            count = 0;
+        } else if (needed * count > available) {
+            count = available / needed;
+        }
+    };
+    // The resource that allows the fewest tasks in most cases comes first, so that one division is enough.
+    restrict(free.accelerators_, task.accelerators_);
+    restrict(free.memoryMb_, task.memoryMb_);
+    restrict(free.milliCores_, task.milliCores_);
+    return static_cast<std::uint32_t>(count);
+}
+
 /// One step of a job: tasks with equal requirements.
 struct StepPlan {
     std::uint32_t count_ = 0;
