Spread tasks without demand over the workers

Cause: workers are chosen by best fit, and each gets as many tasks as it has room for. A task that takes none of a worker's capacity fits there without end, so that the first worker gets all.

An executor refuses nothing that fits, and a filling task receives the capacity that the other tasks leave unused, so callers are served best where most cores are idle, and operators by losing few tasks with a worker. Each task now goes to the worker that leaves it the most idle cores for its speed and its number of runs; quarantined workers get tasks only when limits keep them from the others. Neither the idle reserve nor reservations keep such tasks from a worker, since they keep capacity only. Tasks that need a little memory or a thousandth of a core are placed by best fit as before.

--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -1,5 +1,7 @@
 #include "marjoramfold/dispatch/workerselector.h"
 
+#include "marjoramfold/dispatch/taskspread.h"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -141,8 +143,28 @@
     return found == rackFree_.end() ? 0 : found->second;
 }
 
+auto WorkerSelector::spreadOver(const Group &group, const PlacementRequest &request) -> std::vector<WorkerSession *>
+{
+    std::vector<SpreadWorker> spread;
+    spread.reserve(group.size());
+    for (const auto *candidate : group) {
+        const auto &session = *candidate->session_;
+        const auto limit = request.taskLimitAt(session.entry_.id_, request.count_);
+        spread.push_back({candidate->free_.milliCores_, session.runs_.size(), candidate->relativeDuration_, limit, candidate->quarantined_});
+    }
+    std::vector<WorkerSession *> workers;
+    for (const auto index : spreadTasks(spread, request.count_)) {
+        workers.push_back(group[index]->session_);
+    }
+    return workers;
+}
+
 auto WorkerSelector::selectWorkers(const Group &group, const PlacementRequest &request) const -> std::vector<WorkerSession *>
 {
+    // Reservations and the idle reserve keep capacity, of which such tasks take none.
+    if (request.step_->task_ == ResourceVector()) {
+        return spreadOver(group, request);
+    }
     // Best fit: workers with the fewest free accelerators come first, so that large tasks still find large free blocks.
     std::vector<RankedCandidate> ranked;
     const auto preferHealthy = needsHealthyWorkers(request);
--- a/marjoramfold/dispatch/workerselector.h
+++ b/marjoramfold/dispatch/workerselector.h
@@ -148,6 +148,8 @@
     [[nodiscard]] auto fitsCapacity(const PlacementRequest &request) -> bool;
     [[nodiscard]] auto candidateOf(const WorkerSession &session) -> Candidate *;
     [[nodiscard]] auto selectWorkers(const Group &group, const PlacementRequest &request) const -> std::vector<WorkerSession *>;
+    /// Workers for tasks without demand.
+    [[nodiscard]] static auto spreadOver(const Group &group, const PlacementRequest &request) -> std::vector<WorkerSession *>;
     /// Workers of a placement, and the numbers of the units that have to end first.
     struct RemovalChoice {
         std::vector<WorkerSession *> workers_;
