Name the job in the message of a failed check

Cause: an assertion that fails while a job is placed ends the leader, and names neither the job nor anything that leads to it. The log lines before it are queued and lost with the process. The on-call team could only guess which of the stored jobs ends each leader.

Change: check() ends the process as assert() does, and first writes `check_failed` to standard error, with the job at hand, the condition and the place. A pass names the job whose step it places, and the sending of a start that of its task. The three assertions of the dispatch subsystem use it: the idle counts, the stage of a run before its start, and the tokens of a leader. Nothing is caught, and no condition is weaker than it was.

--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -1,5 +1,6 @@
 #include "marjoramfold/dispatch/fleetscheduler.h"
 
+#include "marjoramfold/observability/check.h"
 #include "marjoramfold/observability/logline.h"
 
 #include <algorithm>
@@ -371,6 +372,7 @@
 
 auto FleetScheduler::sendStart(const PendingStart &start) -> void
 {
+    const JobScope scope(start.task_.job_);
     if (const auto reason = reasonNotToStart(start); !reason.empty()) {
         sessions_.cancelUnsentStart(start.worker_, start.task_, start.run_, reason);
         return;
--- a/marjoramfold/dispatch/idlereserve.cpp
+++ b/marjoramfold/dispatch/idlereserve.cpp
@@ -1,6 +1,6 @@
 #include "marjoramfold/dispatch/idlereserve.h"
 
-#include <cassert>
+#include "marjoramfold/observability/check.h"
 
 namespace Marjoramfold
 {
@@ -22,7 +22,7 @@
 
 auto IdleReserve::takeIdle(std::string_view pool, std::string_view rack) -> void
 {
-    assert(pools_[pool].idle_ > 0 && idleByRack_[rack] > 0);
+    check(pools_[pool].idle_ > 0 && idleByRack_[rack] > 0, "an idle worker is counted in its pool and rack");
     --pools_[pool].idle_;
     --idleByRack_[rack];
 }
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -1,6 +1,7 @@
 #include "marjoramfold/dispatch/delaycost.h"
 #include "marjoramfold/dispatch/fleetscheduler.h"
 #include "marjoramfold/dispatch/reservationpolicy.h"
+#include "marjoramfold/observability/check.h"
 #include "marjoramfold/observability/logline.h"
 
 #include <algorithm>
@@ -166,6 +167,7 @@
 
 auto FleetScheduler::placeStep(WorkerSelector &selector, ReadyStep &ready, unsigned &reservations) -> void
 {
+    const JobScope scope(ready.job_->submission_.id_);
     const auto &plan = ready.job_->submission_.plan_.steps_[ready.rank_.step_];
     auto &tasks = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_].tasks_;
     if (plan.gang_) {
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -1,10 +1,10 @@
 #include "marjoramfold/dispatch/workersessions.h"
 
 #include "marjoramfold/core/namedvalues.h"
+#include "marjoramfold/observability/check.h"
 #include "marjoramfold/observability/logline.h"
 
 #include <algorithm>
-#include <cassert>
 
 namespace Marjoramfold
 {
@@ -104,7 +104,7 @@
 auto WorkerSessions::nextToken() -> std::uint64_t
 {
     ++tokensIssued_;
-    assert(tokensIssued_ < (1ULL << TokenCounterBits));
+    check(tokensIssued_ < (1ULL << TokenCounterBits), "the leader has tokens left");
     return (epoch_ << TokenCounterBits) + tokensIssued_;
 }
 
@@ -167,7 +167,7 @@
         return;
     }
     auto &state = session->runs_[key];
-    assert(state.stage_ == RunStage::Recorded);
+    check(state.stage_ == RunStage::Recorded, "a start command is sent once for a recorded run");
     state.stage_ = RunStage::StartSent;
     const auto until = nextLeaseEnd(*session, BootClock::now());
     session->leaseUntil_ = std::max(session->leaseUntil_, until);
