Pause before a start that a worker refused goes to the same worker again

The start came back some 70 times a second, each time with an append to the store.

Cause: a refused start left no trace but a failure of the worker, which quarantines it only once the starts of two jobs were refused. The next pass therefore found the same worker to be the best one for the task again.

Change: the worker is left out of the task's placements for 250 ms after it refused the start, whatever preferences are given up. Other workers take the task in the next pass; the only suitable one is asked four times a second. Tasks of a step that the same workers refused are placed together. The pause is neither a preference nor a lack of room, so that locality, quarantine and the time for which a step is held count as before.

--- a/marjoramfold/dispatch/dispatchoptions.h
+++ b/marjoramfold/dispatch/dispatchoptions.h
@@ -56,6 +56,9 @@
     /// `quarantineTime_`. Shorter than the 3 s for which a job may have nothing running while there is capacity for it, and long enough
     /// that a fault of the only suitable worker, which lasts some seconds, does not use up the task's attempts.
     std::chrono::milliseconds failedWorkerAvoidance_{2000};
+    /// A worker that refused the start of a task is not asked again for it before this time, so that another one gets it. The time does not grow,
+    /// since the only suitable worker may refuse several run numbers before it accepts one.
+    std::chrono::milliseconds refusalPause_{250};
     /// First quarantine time of a failing worker; it doubles with each repetition. Work that no other worker can take waits no longer
     /// than this.
     std::chrono::milliseconds quarantineTime_{5000};
--- a/marjoramfold/dispatch/failedrequests.cpp
+++ b/marjoramfold/dispatch/failedrequests.cpp
@@ -16,7 +16,7 @@
 auto FailedRequests::shapeOf(const PlacementRequest &request, bool local, Search search) -> std::optional<Shape>
 {
     const auto &step = *request.step_;
-    if (!request.avoidedWorkers_.empty() || step.maxPerWorker_ > 0) {
+    if (!request.avoidedWorkers_.empty() || !request.refusingWorkers_.empty() || step.maxPerWorker_ > 0) {
         return std::nullopt;
     }
     Shape shape;
--- a/marjoramfold/dispatch/fleetscheduler.cpp
+++ b/marjoramfold/dispatch/fleetscheduler.cpp
@@ -33,6 +33,9 @@
                  },
                  [this](const WorkerId &worker, const TaskRef &task, std::uint32_t run) {
                      return onUnexpectedRun(worker, task, run);
+                 },
+                 [this](const WorkerId &worker, const TaskRef &task) {
+                     onStartRefused(worker, task);
                  }},
                 hooks_.schedule_,
                 hooks_.workMeter_)
--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -186,6 +186,8 @@
     // runoutcomes.cpp: handling of run starts and run ends.
     auto onRunStarted(const WorkerId &worker, const TaskRef &task, std::uint32_t run) -> void;
     auto onRunEnded(const RunEnded &end) -> void;
+    /// Keeps the task from the worker for a while, so that another one gets it.
+    auto onStartRefused(const WorkerId &worker, const TaskRef &task) -> void;
     /// Keeps the task of an unexpected run from starting until that run has ended; returns the capacity that the run occupies.
     auto onUnexpectedRun(const WorkerId &worker, const TaskRef &task, std::uint32_t run) -> ResourceVector;
     [[nodiscard]] auto hasUnexpectedRun(const TaskRef &task) const -> bool;
@@ -244,6 +246,8 @@
     auto placeTasks(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, unsigned &reservations) -> void;
     /// Time for which a task is kept away from a worker after a number of failures there.
     [[nodiscard]] auto avoidanceAfter(unsigned failures) const -> std::chrono::milliseconds;
+    /// Workers that refused the task's start too recently for another attempt.
+    [[nodiscard]] auto refusingWorkers(const TaskState &task) const -> std::set<WorkerId>;
     [[nodiscard]] auto makeRequest(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks) -> PlacementRequest;
     /// Longest time for which a step waits for workers without a slowdown.
     [[nodiscard]] auto localityWait(const ReadyStep &ready) const -> std::chrono::milliseconds;
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -35,6 +35,8 @@
     std::string checkpoint_;
     /// Workers on which the task failed or stalled. Not stored.
     std::map<WorkerId, WorkerFailures> failedOn_;
+    /// Workers that refused the start of the task since its last run began, and when. Not stored.
+    std::map<WorkerId, BootTime> refusedBy_;
     /// WorkerSpeeds::ordinaryDuration() of the first run, if it ended done. Not stored.
     std::optional<double> ordinaryDuration_;
 
--- a/marjoramfold/dispatch/placementrequest.h
+++ b/marjoramfold/dispatch/placementrequest.h
@@ -32,6 +32,8 @@
     std::unordered_map<WorkerId, std::uint32_t> placed_;
     /// Relative duration on a worker from which a task alone is expected to miss the objective of its queue.
     double maxRelativeDuration_ = std::numeric_limits<double>::infinity();
+    /// Workers that just refused the start of one of the tasks. They are left out of placements for a moment, whatever preferences are given up.
+    std::set<WorkerId> refusingWorkers_{};
 
     /// True when the tasks run slower on workers away from their data, or a gang on more than one rack.
     [[nodiscard]] auto prefersLocality() const -> bool
--- a/marjoramfold/dispatch/removalsearch.cpp
+++ b/marjoramfold/dispatch/removalsearch.cpp
@@ -166,7 +166,8 @@
     std::optional<RemovalChoice> best;
     auto bestCost = 0.0;
     const auto couldHold = [&request](const Candidate &candidate) {
-        return candidate.session_->entry_.capacity_.covers(request.step_->task_);
+        const auto &entry = candidate.session_->entry_;
+        return entry.capacity_.covers(request.step_->task_) && !request.refusingWorkers_.contains(entry.id_);
     };
     ProblemBuilder builder(victims, request, termsOf, budget);
     for (const auto &group : groupsFor(request, local, couldHold)) {
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -42,6 +42,7 @@
     }
     if (hasTask(*job, ref)) {
         resetHeldTime(*job, ref);
+        job->occurrences_[ref.occurrence_].steps_[ref.step_].tasks_[ref.index_].refusedBy_.clear();
     }
     if (job->phase_ == JobPhase::Queued) {
         setPhase(*job, JobPhase::Running);
@@ -116,6 +117,15 @@
     flush();
 }
 
+auto FleetScheduler::onStartRefused(const WorkerId &worker, const TaskRef &task) -> void
+{
+    auto *job = findJob(task.job_);
+    if (job == nullptr || !hasTask(*job, task)) {
+        return;
+    }
+    job->occurrences_[task.occurrence_].steps_[task.step_].tasks_[task.index_].refusedBy_[worker] = BootClock::now();
+}
+
 auto FleetScheduler::keepCheckpoint(StepState &step, const StepPlan &plan, const RunEnded &end) -> void
 {
     if (!plan.checkpoints_ || end.checkpoint_.empty()) {
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -174,17 +175,18 @@
         placeTasks(selector, ready, ready.tasks_, reservations);
         return;
     }
-    // Tasks with failures are placed one by one, each away from the workers on which it failed recently.
-    std::vector<std::uint32_t> withoutFailures;
+    // Tasks with failures are placed one by one, each away from the workers on which it failed recently. Many tasks may have been refused by the
+    // same workers, so these are placed together.
+    std::map<std::set<WorkerId>, std::vector<std::uint32_t>> others;
     for (const auto index : ready.tasks_) {
         if (tasks[index].failedOn_.empty()) {
-            withoutFailures.push_back(index);
+            others[refusingWorkers(tasks[index])].push_back(index);
         } else {
             placeTasks(selector, ready, {index}, reservations);
         }
     }
-    if (!withoutFailures.empty()) {
-        placeTasks(selector, ready, withoutFailures, reservations);
+    for (auto group = others.rbegin(); group != others.rend(); ++group) {
+        placeTasks(selector, ready, group->second, reservations);
     }
 }
 
@@ -196,6 +198,18 @@
     return std::min(options_.failedWorkerAvoidance_ * (1U << doublings), options_.quarantineTime_);
 }
 
+auto FleetScheduler::refusingWorkers(const TaskState &task) const -> std::set<WorkerId>
+{
+    std::set<WorkerId> refusing;
+    const auto now = BootClock::now();
+    for (const auto &[worker, refusedAt] : task.refusedBy_) {
+        if (now < refusedAt + options_.refusalPause_) {
+            refusing.insert(worker);
+        }
+    }
+    return refusing;
+}
+
 auto FleetScheduler::makeRequest(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks) -> PlacementRequest
 {
     const auto &plan = ready.job_->submission_.plan_.steps_[ready.rank_.step_];
@@ -218,6 +232,9 @@
     if (!selector.couldHoldUnquarantined(request)) {
         request.waived_ = {Preference::Quarantine, Preference::IdleReserve};
     }
+    for (const auto index : tasks) {
+        request.refusingWorkers_.merge(refusingWorkers(state.tasks_[index]));
+    }
     if (plan.maxPerWorker_ > 0) {
         for (const auto &task : state.tasks_) {
             if (task.isActive()) {
--- a/marjoramfold/dispatch/workerselector.cpp
+++ b/marjoramfold/dispatch/workerselector.cpp
@@ -262,7 +262,7 @@
 auto WorkerSelector::searchFreeCapacity(const PlacementRequest &request, bool local) -> std::optional<PlacementDecision>
 {
     const auto hasRoom = [&request](const Candidate &candidate) {
-        return candidate.free_.covers(request.step_->task_);
+        return candidate.free_.covers(request.step_->task_) && !request.refusingWorkers_.contains(candidate.session_->entry_.id_);
     };
     if (needsHealthyWorkers(request)) {
         const auto isHealthy = [&hasRoom](const Candidate &candidate) {
--- a/marjoramfold/dispatch/workersessions.cpp
+++ b/marjoramfold/dispatch/workersessions.cpp
@@ -247,6 +247,9 @@
     case CommandOutcome::Refused:
     case CommandOutcome::LeaseExpired:
     case CommandOutcome::NotConnected:
+        if (response.outcome_ == CommandOutcome::Refused || response.outcome_ == CommandOutcome::LeaseExpired) {
+            events_.startRefused_(id, key.first);
+        }
         endRun(*session, key, RunOutcome::Lost, {}, true, response.reason_);
         break;
     case CommandOutcome::WorkerReplaced:
--- a/marjoramfold/dispatch/workersessions.h
+++ b/marjoramfold/dispatch/workersessions.h
@@ -68,6 +68,8 @@
     std::function<void()> capacityChanged_;
     /// A worker reported a run that the leader does not know, and which is stopped; returns the capacity that the run occupies.
     std::function<ResourceVector(const WorkerId &, const TaskRef &, std::uint32_t run)> unexpectedRun_;
+    /// A worker refused a run's start command, and would refuse the next one for the same reason. Its end is reported as well.
+    std::function<void(const WorkerId &, const TaskRef &)> startRefused_;
 };
 
 /// Renews the leases of all workers with runs, sends commands to them and determines the outcome of each run.
--- a/tests/unit/test_heldpools.cpp
+++ b/tests/unit/test_heldpools.cpp
@@ -338,3 +338,62 @@
     CHECK(fleet.phaseOf(FirstId) == JobPhase::Completed);
     CHECK(fleet.violations_ == std::vector<std::string>{});
 }
+
+TEST_CASE("a start that is refused goes to another worker, or to the same one after a pause", "[dispatch][held]")
+{
+    // Guards against start commands that follow each other as fast as they are refused, each with an append to the store.
+    SimulatedFleet fleet;
+    std::size_t refused = 0;
+    const auto refuseUntil = [&fleet, &refused](std::chrono::milliseconds end) {
+        fleet.startFault_ = [&fleet, &refused, end](const TaskRef &) {
+            constexpr auto Refused = 3;
+            const auto refuses = fleet.now() < end;
+            refused += refuses ? 1 : 0;
+            return refuses ? Refused : 0;
+        };
+    };
+
+    SECTION("when no other worker is suitable")
+    {
+        fleet.addWorkers(1, "zone-1", "r1-1");
+        fleet.startLeader();
+        fleet.advance(100ms);
+        const auto submittedAt = fleet.now();
+        refuseUntil(submittedAt + 5s);
+        fleet.submit(makeSubmission(FirstId.value(), "batch", 1, SmallTask));
+        fleet.advance(8s);
+        // Four a second.
+        CHECK(refused <= 25);
+        // It starts soon after the worker accepts it.
+        CHECK(timeToStart(fleet, FirstId, submittedAt) < 5'500ms);
+        CHECK(fleet.phaseOf(FirstId) == JobPhase::Completed);
+    }
+
+    SECTION("when all workers refuse a gang")
+    {
+        addTwoRacks(fleet);
+        fleet.advance(100ms);
+        const auto submittedAt = fleet.now();
+        refuseUntil(submittedAt + 2s);
+        fleet.submit(asGang(makeSubmission(FirstId.value(), "urgent", 2, WholeWorkerTask)));
+        fleet.advance(8s);
+        CHECK(timeToStart(fleet, FirstId, submittedAt) < MaxTimeWithoutRun);
+        CHECK(fleet.phaseOf(FirstId) == JobPhase::Completed);
+    }
+
+    SECTION("when the tasks of a job are refused together, and the others take them")
+    {
+        addTwoRacks(fleet);
+        fleet.advance(100ms);
+        constexpr std::uint32_t NewerRun = 1'000;
+        constexpr std::uint32_t Count = 24;
+        for (std::uint32_t index = 0; index < Count; ++index) {
+            fleet.worker(WorkerId("w-r1-1-0")).highestRun_[{FirstId, 0, 0, index}] = NewerRun;
+        }
+        fleet.submit(makeSubmission(FirstId.value(), "batch", Count, SmallTask));
+        fleet.advance(1s);
+        CHECK(fleet.starts_[FirstId].size() == Count);
+        CHECK(fleet.worker(WorkerId("w-r1-1-0")).runs_.empty());
+    }
+    CHECK(fleet.violations_ == std::vector<std::string>{});
+}
--- a/tests/unit/test_workerleases.cpp
+++ b/tests/unit/test_workerleases.cpp
@@ -47,6 +47,7 @@
         };
         events.capacityChanged_ = [] {};
         events.runStarted_ = [](const WorkerId & /*worker*/, const TaskRef & /*task*/, std::uint32_t /*run*/) {};
+        events.startRefused_ = [](const WorkerId & /*worker*/, const TaskRef & /*task*/) {};
         sessions_ = std::make_unique<WorkerSessions>(options_, 1, calls, events, [this](std::chrono::milliseconds pause, std::function<void()> step) {
             steps_.emplace_back(now_ + pause, std::move(step));
         });
