--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -6,6 +6,7 @@
 #   SOAK_LEASE_MS                                       longest lease that workers accept
 #   SOAK_LATE_ACROSS_RESTARTS=1                         workers also execute late commands that were sent before their restart
 #   SOAK_UNNOTICED_KIND_CHANGES=1                       workers that restart with less capacity accept commands before their new entry
+#   SOAK_WITHOUT_DEMAND=1                               each third job has many tasks without demand
 #   SOAK_PROGRAM                                        instance program of another build
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -406,6 +406,10 @@
         job.urgent_ = job.gang_;
         job.tasks_ = 1 + pick(job.gang_ ? 4 : 8);
         job.work_ = std::chrono::milliseconds(200 + pick(1500));
+        if (options_.jobsWithoutDemand_ && nextJob_ % 3 == 1) {
+            job.accelerators_ = 0;
+            job.tasks_ = 3 * options_.workers_;
+        }
         submitJob(job);
         runAfter(SubmitInterval, [this] {
             submitNextJob();
@@ -424,6 +428,9 @@
     const auto &job = checker_.job(id);
     const auto estimate = job.estimate_.count() > 0 ? job.estimate_ : job.work_;
     nlohmann::json step{{"count", job.tasks_}, {"cpu", 1000}, {"mem_mb", 1000}, {"gpu", job.accelerators_}, {"estimate_ms", estimate.count()}};
+    if (job.accelerators_ == 0) {
+        step = {{"count", job.tasks_}, {"cpu", 1000}, {"fills", true}, {"estimate_ms", estimate.count()}};
+    }
     if (job.gang_) {
         step["gang"] = true;
         step["same_rack"] = true;
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -50,6 +50,8 @@
     std::chrono::milliseconds maxLease_{6000};
     /// Workers also execute late commands that were sent before their restart.
     bool lateAcrossRestarts_ = false;
+    /// The first job and each third one after it have several tasks without demand for each worker.
+    bool jobsWithoutDemand_ = false;
     /// Workers that restart with less capacity accept commands before their new entry is written. The platform's contract gives a leader
     /// no complete protection against this.
     bool unnoticedKindChanges_ = false;
--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -79,6 +79,14 @@
     runSeed(options);
 }
 
+TEST_CASE("real instances run tasks without demand beside other work under faults", "[soak]")
+{
+    // Guards against a stored job that ends each leader in its first pass over it.
+    auto options = optionsFor(52);
+    options.jobsWithoutDemand_ = true;
+    runSeed(options);
+}
+
 TEST_CASE("one seed by hand", "[.][by-hand]")
 {
     const auto *seed = std::getenv("SOAK_SEED");
@@ -98,6 +106,7 @@
     options.maxLease_ = std::chrono::milliseconds(std::stoul(setting("SOAK_LEASE_MS", std::to_string(options.maxLease_.count()))));
     options.unnoticedKindChanges_ = setting("SOAK_UNNOTICED_KIND_CHANGES", "0") == "1";
     options.lateAcrossRestarts_ = setting("SOAK_LATE_ACROSS_RESTARTS", "0") == "1";
+    options.jobsWithoutDemand_ = setting("SOAK_WITHOUT_DEMAND", "0") == "1";
     runSeed(options);
 }
 
