--- a/tests/unit/test_taskswithoutdemand.cpp
+++ b/tests/unit/test_taskswithoutdemand.cpp
@@ -64,6 +64,16 @@
         CHECK(fleet.phaseOf(FirstJob) == JobPhase::Completed);
     }
 
+    SECTION("nor start when the job was cancelled before the next leader")
+    {
+        fleet.killLeader();
+        fleet.submit(makeSubmission(FirstJob.value(), "batch", Count, NoDemand));
+        fleet.cancel(FirstJob);
+        fleet.startLeader();
+        fleet.advance(4s);
+        CHECK(fleet.starts_[FirstJob].empty());
+    }
+
     SECTION("when the workers have no capacity at all")
     {
         for (const auto &id : fleet.workerIds()) {
