Keep refused starts at the step instead of at each task

Change: the step holds the refusals by the index of the task. Decisions are the same.

Measured: unit and contract tests pass, among them those of refused starts.

--- a/marjoramfold/dispatch/fleetscheduler.h
+++ b/marjoramfold/dispatch/fleetscheduler.h
@@ -246,8 +246,8 @@
     auto placeTasks(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks, unsigned &reservations) -> void;
     /// Time for which a task is kept away from a worker after a number of failures there.
     [[nodiscard]] auto avoidanceAfter(unsigned failures) const -> std::chrono::milliseconds;
-    /// Workers that refused the task's start too recently for another attempt.
-    [[nodiscard]] auto refusingWorkers(const TaskState &task) const -> std::set<WorkerId>;
+    /// Workers that refused the start of a step's task too recently for another attempt.
+    [[nodiscard]] auto refusingWorkers(const StepState &step, std::uint32_t index) const -> std::set<WorkerId>;
     [[nodiscard]] auto makeRequest(WorkerSelector &selector, const ReadyStep &ready, const std::vector<std::uint32_t> &tasks) -> PlacementRequest;
     /// Longest time for which a step waits for workers without a slowdown.
     [[nodiscard]] auto localityWait(const ReadyStep &ready) const -> std::chrono::milliseconds;
--- a/marjoramfold/dispatch/jobstate.h
+++ b/marjoramfold/dispatch/jobstate.h
@@ -35,8 +35,6 @@
     std::string checkpoint_;
     /// Workers on which the task failed or stalled. Not stored.
     std::map<WorkerId, WorkerFailures> failedOn_;
-    /// Workers that refused the start of the task since its last run began, and when. Not stored.
-    std::map<WorkerId, BootTime> refusedBy_;
     /// WorkerSpeeds::ordinaryDuration() of the first run, if it ended done. Not stored.
     std::optional<double> ordinaryDuration_;
 
@@ -76,6 +74,8 @@
     /// Workers on which lower priorities were stopped for the step, and until when they are awaited. Not stored.
     std::vector<WorkerId> awaitedWorkers_{};
     BootTime awaitedUntil_{};
+    /// By index, the tasks whose start was refused since their last run began: by which workers, and when. Not stored; few tasks have an entry.
+    std::map<std::uint32_t, std::map<WorkerId, BootTime>> refusedBy_{};
 };
 
 /// State of one occurrence of a job.
--- a/marjoramfold/dispatch/runoutcomes.cpp
+++ b/marjoramfold/dispatch/runoutcomes.cpp
@@ -42,7 +42,7 @@
     }
     if (hasTask(*job, ref)) {
         resetHeldTime(*job, ref);
-        job->occurrences_[ref.occurrence_].steps_[ref.step_].tasks_[ref.index_].refusedBy_.clear();
+        job->occurrences_[ref.occurrence_].steps_[ref.step_].refusedBy_.erase(ref.index_);
     }
     if (job->phase_ == JobPhase::Queued) {
         setPhase(*job, JobPhase::Running);
@@ -123,7 +123,7 @@
     if (job == nullptr || !hasTask(*job, task)) {
         return;
     }
-    job->occurrences_[task.occurrence_].steps_[task.step_].tasks_[task.index_].refusedBy_[worker] = BootClock::now();
+    job->occurrences_[task.occurrence_].steps_[task.step_].refusedBy_[task.index_][worker] = BootClock::now();
 }
 
 auto FleetScheduler::keepCheckpoint(StepState &step, const StepPlan &plan, const RunEnded &end) -> void
--- a/marjoramfold/dispatch/startpass.cpp
+++ b/marjoramfold/dispatch/startpass.cpp
@@ -170,7 +170,7 @@
 {
     const JobScope scope(ready.job_->submission_.id_);
     const auto &plan = ready.job_->submission_.plan_.steps_[ready.rank_.step_];
-    auto &tasks = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_].tasks_;
+    const auto &state = ready.job_->occurrences_[ready.rank_.occurrence_].steps_[ready.rank_.step_];
     if (plan.gang_) {
         placeTasks(selector, ready, ready.tasks_, reservations);
         return;
@@ -179,8 +179,8 @@
     // same workers, so these are placed together.
     std::map<std::set<WorkerId>, std::vector<std::uint32_t>> others;
     for (const auto index : ready.tasks_) {
-        if (tasks[index].failedOn_.empty()) {
-            others[refusingWorkers(tasks[index])].push_back(index);
+        if (state.tasks_[index].failedOn_.empty()) {
+            others[refusingWorkers(state, index)].push_back(index);
         } else {
             placeTasks(selector, ready, {index}, reservations);
         }
@@ -198,11 +198,15 @@
     return std::min(options_.failedWorkerAvoidance_ * (1U << doublings), options_.quarantineTime_);
 }
 
-auto FleetScheduler::refusingWorkers(const TaskState &task) const -> std::set<WorkerId>
+auto FleetScheduler::refusingWorkers(const StepState &step, std::uint32_t index) const -> std::set<WorkerId>
 {
     std::set<WorkerId> refusing;
+    const auto found = step.refusedBy_.find(index);
+    if (found == step.refusedBy_.end()) {
+        return refusing;
+    }
     const auto now = BootClock::now();
-    for (const auto &[worker, refusedAt] : task.refusedBy_) {
+    for (const auto &[worker, refusedAt] : found->second) {
         if (now < refusedAt + options_.refusalPause_) {
             refusing.insert(worker);
         }
@@ -233,7 +237,7 @@
         request.waived_ = {Preference::Quarantine, Preference::IdleReserve};
     }
     for (const auto index : tasks) {
-        request.refusingWorkers_.merge(refusingWorkers(state.tasks_[index]));
+        request.refusingWorkers_.merge(refusingWorkers(state, index));
     }
     if (plan.maxPerWorker_ > 0) {
         for (const auto &task : state.tasks_) {
